--- /dev/null
+++ b/rudderflow/benchlink.py
@@ -0,0 +1,373 @@
+"""The simulator's wire: frames in, events out; actions in, frames out. Decides nothing.
+
+All words and layouts of the wire live here. One process hosts many instances, which share
+nothing: each has a Balancer of its own in the table.
+"""
+
+from __future__ import annotations
+
+import gc
+import json
+import struct
+import sys
+from collections.abc import Callable
+from typing import Any, BinaryIO, TypeVar
+
+from rudderflow import interface as api
+from rudderflow.policy import Balancer
+
+HEADER = struct.Struct(">IIQI")
+REPLY_HEADER = struct.Struct(">III")
+EVENT_SIZE, ACTION_SIZE, ENTRY_SIZE = 48, 24, 23
+MAX_FRAME = 1 << 30
+MAX_DELAY = 71 * 60 * api.SECOND - api.SECOND  # the longest timer the wire takes, less a second
+MAX_U32 = (1 << 32) - 1
+
+REPLY = struct.Struct(">xHIHIHBQBB4f")
+REMINDER = struct.Struct(">xHQ")
+UP = struct.Struct(">xHQII")
+LEFT = struct.Struct(">xHI")
+HEARD = struct.Struct(">xHHII")
+JOB_IN = struct.Struct(">xHIBIQQQH")
+KILLED = struct.Struct(">xH")
+LIST = struct.Struct(">xHII")
+STREAMING = struct.Struct(">xHIHQIH")
+CHECK_RESULT = struct.Struct(">xHIHBQB4f")
+DIRECTORY = struct.Struct(">xHIBH")
+ENTRY = struct.Struct(">BBBHIHQf")
+
+SHED = struct.Struct(">BHIQ9x")
+OBSERVE = struct.Struct(">BHB20x")
+SLEEP = struct.Struct(">BHQQ5x")
+LOSE = struct.Struct(">BHI17x")
+TEXT = struct.Struct(">BHII13x")
+TRY = struct.Struct(">BHIQIH3x")
+ABANDON = struct.Struct(">BHIH15x")
+REFRESH = struct.Struct(">BH21x")
+TO_SERVER = struct.Struct(">BHIH15x")
+SHARE = struct.Struct(">BHHII11x")
+ALL_PEERS = 0xFFFF
+MOST_LISTS = 16
+
+STATUS = {
+    0: api.Status.OK, 13: api.Status.ERROR, 8: api.Status.FULL, 4: api.Status.TIMEOUT,
+    14: api.Status.CONNECT_FAILED, 10: api.Status.RESET, 1: api.Status.CANCELLED, 9: api.Status.MOOT,
+}
+STATE = {0: api.State.DRAINING, 1: api.State.READY, 2: api.State.GONE}
+LIST_KIND = {
+    0: api.ListKind.FAILED, 1: api.ListKind.FULL, 3: api.ListKind.CHANGES, 4: api.ListKind.CACHED,
+}
+EFFECT = {"repeatable": api.Effect.SAFE, "by_key": api.Effect.KEYED, "once": api.Effect.UNSAFE}
+T = TypeVar("T")
+HINT_VALID, CLIENT_REPEAT = 1, 2
+OBJECTIVE = (
+    ("whole", "whole", 0.0), ("worst_window", "worstWindow", 0.0), ("worst_class", "worstClass", 0.0),
+    ("worst_tenant", "worstTenant", 0.0), ("tail", "tail", 0.0), ("tail_miss", "tailMiss", 0.01),
+    ("nines", "nines", 0.0), ("top_nines", "topNines", 3.0),
+)
+PRICES = (
+    ("cross_zone", "crossZone"), ("waste", "waste"), ("late_fail", "lateFail"), ("probe", "probe"),
+    ("peer", "peer"), ("handshake", "handshake"), ("connection", "connection"),
+    ("discovery", "registryMode"),
+)
+
+
+class WireError(Exception):
+    """Input that this wire does not allow; the text says what and where."""
+
+
+def _number(table: dict[str, Any], name: str, default: float | None, where: str) -> float:
+    value = table.get(name, default)
+    if value is None:
+        raise WireError(f"settings: {where}{name} is missing")
+    if isinstance(value, bool) or not isinstance(value, (int, float)) or not abs(value) < 1 << 63:
+        raise WireError(f"settings: {where}{name} is not a number in range")
+    return value
+
+
+def _flag(table: dict[str, Any], name: str, default: bool) -> bool:
+    value = table.get(name, default)
+    if not isinstance(value, bool):
+        raise WireError(f"settings: {name} is not true or false")
+    return value
+
+
+def _places(row: dict[str, Any], name: str, where: str) -> tuple[int, ...] | None:
+    """Positions of zones or kinds; None where the key is absent: any will do."""
+    value = row.get(name)
+    if value is None:
+        return None
+    if not isinstance(value, list) or not all(isinstance(v, int) and not isinstance(v, bool) for v in value):
+        raise WireError(f"settings: {where}{name} is not a list of positions")
+    return tuple(value)
+
+
+def _table(parent: dict[str, Any], name: str) -> dict[str, Any]:
+    value = parent.get(name) or {}
+    if not isinstance(value, dict):
+        raise WireError(f"settings: {name} is not an object")
+    return value
+
+
+def _rows(parent: dict[str, Any], name: str) -> list[dict[str, Any]]:
+    value = parent.get(name) or []
+    if not isinstance(value, list) or not all(isinstance(row, dict) for row in value):
+        raise WireError(f"settings: {name} is not a list of objects")
+    return value
+
+
+def read_settings(text: bytes) -> api.Settings:
+    """Settings from the JSON of an instance's first message.
+
+    Unknown keys are skipped. Needed are `classes`, and in each its aim and its deadline; all
+    else falls back to the defaults of api.Settings and api.RequestClass.
+    """
+    try:
+        top = json.loads(text)
+    except (ValueError, RecursionError) as err:
+        raise WireError(f"settings: not JSON ({err})") from None
+    if not isinstance(top, dict):
+        raise WireError("settings: not an object")
+    classes = []
+    for i, row in enumerate(_rows(top, "classes")):
+        where = f"classes[{i}]."
+        effect, group = row.get("effect", "once"), row.get("group", "all")
+        if effect not in EFFECT:
+            raise WireError(f"settings: {where}effect {effect!r} is unknown")
+        if group not in ("all", "zone", "cell"):
+            raise WireError(f"settings: {where}group {group!r} is unknown")
+        classes.append(api.RequestClass(
+            name=str(row.get("name", i)), effect=EFFECT[effect], group=api.Group(group),
+            aim=int(_number(row, "objectiveNs", None, where)),
+            deadline=int(_number(row, "deadlineNs", None, where)),
+            window=int(_number(row, "windowNs", 0, where)), worth=_number(row, "worth", 1.0, where),
+            late_worth=_number(row, "lateValue", 0.0, where), stream=_flag(row, "stream", False),
+            zones=_places(row, "confinedTo", where), kinds=_places(row, "flavorsAllowed", where),
+            aim_stretch=_number(row, "aimStretch", 0.0, where),
+        ))
+    tenants = tuple(
+        api.Tenant(str(row.get("name", i)), _number(row, "allowancePerS", 0.0, f"customers[{i}]."))
+        for i, row in enumerate(_rows(top, "customers"))
+    )
+    limits, rules, prices = _table(top, "policyLimits"), _table(top, "rules"), _table(top, "deductions")
+    report = _table(top, "report")
+    columns = report.get("columns") or []
+    if not isinstance(columns, list):
+        raise WireError("settings: report.columns is not a list")
+    mix, info = _table(top, "objectiveMix"), _table(top, "familyInfo")
+    share = rules.get("budgetShare")
+    try:
+        return api.Settings(
+            classes=tuple(classes), tenants=tenants,
+            tier=int(_number(top, "tier", 0, "")), zone=int(_number(top, "zone", 0, "")),
+            node=int(_number(top, "me", 0, "")), siblings=int(_number(top, "siblings", 1, "")),
+            tick=int(_number(top, "periodNs", api.MILLISECOND, "")),
+            ask_for_list=top.get("registryMode", "push") == "ask",
+            ask_within=int(_number(rules, "mustAskInNs", 10 * api.SECOND, "rules.")),
+            drain_grace=int(_number(rules, "drainGraceNs", 0, "rules.")),
+            answer_slack=int(_number(rules, "graceToAnswerNs", 0, "rules.")),
+            cold_share=_number(rules, "coldFrom", 1.0, "rules."),
+            cold_time=int(_number(rules, "coldNs", 0, "rules.")),
+            cold_multiple=_number(rules, "overloadFactor", 1.0, "rules."),
+            cold_window=int(_number(rules, "overloadForNs", api.SECOND, "rules.")),
+            budget_share=None if share is None else _number(rules, "budgetShare", 0.0, "rules."),
+            budget_free=_number(rules, "freeResends", 0.0, "rules."),
+            budget_window=int(_number(rules, "resendSpanNs", 5 * api.SECOND, "rules.")),
+            may_cancel=_flag(limits, "mayCancel", True),
+            may_duplicate=_flag(limits, "mayDuplicate", True),
+            may_probe=_flag(limits, "mayProbe", False), may_tell=_flag(limits, "peerMessages", False),
+            max_attempts=int(_number(limits, "sendCap", 1, "policyLimits.")),
+            retry_after=_flag(limits, "retryAfter", False),
+            connect_timeout=int(_number(limits, "connectTimeoutNs", 0, "policyLimits.")),
+            idle_close=int(_number(limits, "idleCloseNs", 0, "policyLimits.")),
+            streams=int(_number(limits, "streamsPerConn", 1, "policyLimits.")),
+            passes_deadline=_flag(info, "passesDeadline", True),
+            weights=str(top.get("weights", "off")),
+            objective=api.Objective(**{
+                field: _number(mix, name, default, "objectiveMix.") for field, name, default in OBJECTIVE}),
+            prices=api.Prices(**{
+                field: _number(prices, name, 0.0, "deductions.") for field, name in PRICES}),
+            max_retry_after=int(_number(limits, "maxRetryAfterNs", 0, "policyLimits.")),
+            over_share_worth=_number(top, "overShareWorth", 1.0, ""),
+            worth_by_work=top.get("worthBy", "request") == "work",
+            report_columns=tuple(map(str, columns)) if report.get("via", "off") != "off" else (),
+            reports_in_answers=report.get("via") == "inline",
+        )
+    except ValueError as err:
+        raise WireError(str(err)) from None
+
+
+class Link:
+    """The instances of one process, and the frames to and from them."""
+
+    def __init__(self, make: Callable[[api.Settings, int], Balancer] = Balancer) -> None:
+        self.make = make
+        self.balancers: dict[int, Balancer] = {}
+        self.lists: dict[int, tuple[api.ServerEntry, ...]] = {}
+        self.records: list[bytes] = []
+        self.tail = bytearray()
+
+    def answer(self, frame: bytes) -> bytes:
+        """The reply to one whole frame."""
+        length, count, now, batch = HEADER.unpack_from(frame)
+        tail_at = HEADER.size + count * EVENT_SIZE
+        if length != len(frame) or tail_at > length:
+            raise WireError(f"batch {batch}: {count} records do not fit a frame of {length} bytes")
+        self.records, self.tail = [], bytearray()
+        for index in range(count):
+            try:
+                self._event(frame, HEADER.size + index * EVENT_SIZE, tail_at, now)
+            except WireError as err:
+                raise WireError(f"batch {batch}, record {index}: {err}") from None
+        body = b"".join(self.records)
+        total = REPLY_HEADER.size + len(body) + len(self.tail)
+        return REPLY_HEADER.pack(total, len(self.records), batch) + body + self.tail
+
+    @staticmethod
+    def _slice(frame: bytes, tail_at: int, offset: int, size: int) -> bytes:
+        if tail_at + offset + size > len(frame):
+            raise WireError(f"offset {offset} and length {size} point outside the tail")
+        return frame[tail_at + offset:tail_at + offset + size]
+
+    def _event(self, frame: bytes, at: int, tail_at: int, now: int) -> None:
+        code = frame[at]
+        event: api.Event
+        if code == 1:
+            (inst, job, seq, host, port, result, spent, closed, n, *stats) = REPLY.unpack_from(frame, at)
+            event = api.AttemptEnded(job, seq, host << 16 | port, self._look(STATUS, result, "outcome"),
+                                     spent, bool(closed), tuple(stats[:n]))
+        elif code == 2:
+            inst, token = REMINDER.unpack_from(frame, at)
+            event = api.TimerFired(token)
+        elif code == 6:
+            inst, job, cls, tenant, key, expires, cost, bits = JOB_IN.unpack_from(frame, at)
+            event = api.RequestArrived(job, cls, expires, tenant, key, cost if bits & HINT_VALID else 0,
+                                       bool(bits & CLIENT_REPEAT))
+        elif code == 8:
+            number, offset, size = LIST.unpack_from(frame, at)
+            if number >= MOST_LISTS:
+                raise WireError(f"list number {number} is not below {MOST_LISTS}")
+            data = self._slice(frame, tail_at, offset, size * ENTRY_SIZE)
+            self.lists[number] = tuple(
+                api.ServerEntry(host << 16 | port, self._look(STATE, state, "server state"),
+                                zone, cell, kind, started, weight)
+                for kind, zone, state, cell, host, port, started, weight in ENTRY.iter_unpack(data))
+            return
+        elif code == 11:
+            inst, _generation, form, number = DIRECTORY.unpack_from(frame, at)
+            kind = self._look(LIST_KIND, form, "list kind")
+            if kind is not api.ListKind.FAILED and number not in self.lists:
+                raise WireError(f"list {number} was never given")
+            event = api.ListUpdate(kind, () if kind is api.ListKind.FAILED else self.lists[number])
+        elif code == 4:
+            inst, job = LEFT.unpack_from(frame, at)
+            event = api.RequestGone(job)
+        elif code == 3:
+            inst, seed, offset, size = UP.unpack_from(frame, at)
+            self.balancers[inst] = self.make(read_settings(self._slice(frame, tail_at, offset, size)), seed)
+            return
+        elif code == 7:
+            (inst,) = KILLED.unpack_from(frame, at)
+            self.balancers.pop(inst, None)
+            self.records = [r for r in self.records if r[1:3] != inst.to_bytes(2, "big")]
+            return
+        elif code == 9:
+            inst, job, seq, spent, host, port = STREAMING.unpack_from(frame, at)
+            event = api.StreamStarted(job, seq, host << 16 | port, spent)
+        elif code == 10:
+            inst, host, port, result, spent, n, *stats = CHECK_RESULT.unpack_from(frame, at)
+            event = api.ProbeEnded(host << 16 | port, self._look(STATUS, result, "outcome"), spent,
+                                   tuple(stats[:n]))
+        elif code == 5:
+            inst, sender, offset, size = HEARD.unpack_from(frame, at)
+            event = api.PeerMessage(sender, self._slice(frame, tail_at, offset, size))
+        else:
+            raise WireError(f"unknown event code {code}")
+        balancer = self.balancers.get(inst)
+        if balancer is None:
+            raise WireError(f"event for instance {inst}, which is not up")
+        if isinstance(event, api.RequestArrived) and event.cls >= len(balancer.settings.classes):
+            raise WireError(f"class {event.cls} is not in the settings")
+        try:
+            actions = balancer.handle(now, event)
+        except Exception as err:  # the decisions failed: the day's report should say how
+            self._text(71, inst, f"{type(err).__name__}: {err}")
+            return
+        for action in actions:
+            self._action(inst, action)
+
+    @staticmethod
+    def _look(table: dict[int, T], code: int, what: str) -> T:
+        if code not in table:
+            raise WireError(f"unknown {what} {code}")
+        return table[code]
+
+    def _action(self, inst: int, action: api.Action) -> None:
+        if isinstance(action, api.Send):
+            host, port = action.server >> 16, action.server & 0xFFFF
+            record = TRY.pack(75, inst, action.request, action.timeout, host, port)
+        elif isinstance(action, api.SetTimer):
+            record = SLEEP.pack(67, inst, action.token, min(max(action.delay, 0), MAX_DELAY))
+        elif isinstance(action, api.Cancel):
+            record = ABANDON.pack(76, inst, action.request, action.attempt)
+        elif isinstance(action, api.Refuse):
+            record = SHED.pack(65, inst, action.request, action.retry_after)
+        elif isinstance(action, api.Fail):
+            record = LOSE.pack(70, inst, action.request)
+        elif isinstance(action, api.Subscribe):
+            record = OBSERVE.pack(66, inst, 1)
+        elif isinstance(action, api.Refresh):
+            record = REFRESH.pack(73, inst)
+        elif isinstance(action, (api.Probe, api.HangUp)):
+            code = 68 if isinstance(action, api.Probe) else 74
+            record = TO_SERVER.pack(code, inst, action.server >> 16, action.server & 0xFFFF)
+        elif isinstance(action, api.Tell):
+            peer = ALL_PEERS if action.peer is None else action.peer
+            record = SHARE.pack(69, inst, peer, len(self.tail), len(action.data))
+            self.tail += action.data
+        else:
+            return self._text(72, inst, action.text)
+        self.records.append(record)
+        return None
+
+    def _text(self, code: int, inst: int, text: str) -> None:
+        data = text.encode()
+        self.records.append(TEXT.pack(code, inst, len(self.tail), len(data)))
+        self.tail += data
+
+
+def _read(source: BinaryIO, size: int, what: str) -> bytes:
+    data = source.read(size)
+    if len(data) not in (0, size):
+        raise WireError(f"input ends after {len(data)} of {size} bytes of {what}")
+    return data
+
+
+def serve(source: BinaryIO, sink: BinaryIO) -> None:
+    """Answer frames until the input ends."""
+    link = Link()
+    while head := _read(source, HEADER.size, "a header"):
+        length = HEADER.unpack(head)[0]
+        if not HEADER.size <= length <= MAX_FRAME:
+            raise WireError(f"a frame cannot have {length} bytes")
+        body = _read(source, length - HEADER.size, "a frame")
+        if len(body) != length - HEADER.size:
+            raise WireError("input ends after a header")
+        sink.write(link.answer(head + body))
+        sink.flush()
+
+
+def main() -> int:
+    gc.disable()  # nothing here makes cycles; the collector's walks would only cost CPU
+    try:
+        serve(sys.stdin.buffer, sys.stdout.buffer)
+    except WireError as err:
+        print(f"benchlink: {err}", file=sys.stderr)
+        return 2
+    except BrokenPipeError:
+        return 0
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/rudderflow/policy.py
@@ -0,0 +1,530 @@
+"""Every decision of the balancer. Settings, events and actions: rudderflow/interface.py.
+
+Request Replication (docs/design.md): per server a latency curve fitted to this node's own outcomes; per call
+the cheapest set of servers whose joint chance to answer in time reaches the target, raced; losers cancelled.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from collections import deque
+from collections.abc import Sequence
+from itertools import combinations
+
+from scipy.special.cython_special import gammainc  # ten times cheaper for scalars than the array form
+
+from rudderflow import interface as api
+
+SHAPE_MAX = 64  # largest Gamma shape k; beyond it a curve is as good as a step at its mean
+HALF_LIFE = 10 * api.SECOND  # age at which an outcome counts half: servers change within tens of seconds
+LOAD_HALF_LIFE = 2 * api.SECOND  # the same for the common load, which all calls tell and which moves faster
+CLASS_HALF_LIFE = 60 * api.SECOND  # the same for how long a class takes beside others: it hardly moves
+SPARSE = 5.0  # outcomes below which a curve is exponential: two figures need more than a few calls
+PRIOR = 2.0  # outcomes that the kind's (or all servers') evidence counts for in a server's own
+REFERENCE = 2.0  # reference time r, as a multiple of what the call is expected to take
+FIRST_MEAN = 0.2  # expected time of a class before any outcome, in aims: leaves most of the aim as slack
+FIRST_SHARE = 0.9  # share of calls within the reference time before any outcome: about the exponential's
+SET_MOST = 3  # servers raced for one call (design)
+TARGET = 0.95  # p_req: chance of an answer in the time left that a set must reach
+CROWD_LEAST = 2.0  # load over the calm load above which the least worthy call is refused,
+CROWD_MOST = 3.0  # and the worthiest: by then the servers' cores are busy and more only waits
+NOISE = 0.5  # spread of calls' times around their mean, in means, that is put down to chance
+CALM_DOUBLES = 120 * api.SECOND  # the calm load is the lowest seen, doubled in this time: fleets change
+SPARE_SHARE = 0.2  # further attempts allowed per answer got: bounds what the tiers multiply to about 1.2 each
+SPARE_MOST = 10.0  # further attempts saved up at most: enough for a server that dies with calls in flight
+LOAD_KEEPS = 10.0  # answers at least that the common load is judged by, up to HALF_LIFE: many nodes have few
+CROSSING = 1.5  # price of a server in another zone, as a multiple, where crossings are charged for
+COLD_PART = 0.5  # part of a cold server's budget that is used: one node's guess at warm rates is rough
+FIRST_CALLS = 2.5  # calls out a server, over all nodes, that any bears: so many before answers tell more,
+GROWTH = 0.25  # and further calls for each answer while queues do not build; as many fewer over CROWD_LEAST
+STEADY = 5.0  # window below which calls out are averaged, over STEADY / window arrivals: few swing by chance
+AIM_PART = 0.8  # part of its aim that a class's calls take on average when the least worthy is refused
+FULL_SHRINKS = 12.0  # answers' growth that one call turned away as full undoes: one in twelve is many
+ROOM = 2.0  # calls out that may be, as a multiple of what the answers got would need at their usual times
+GROWTH_MOST = 1.5  # load over the calm one up to which queues do not build
+POOL_MOST = 50  # servers looked at for one call, drawn at random: more cost time and are hardly better
+LOOKERS = 20.0  # nodes that look at a server if all call at once: guards against all crowding the best
+SAY_EVERY = 10 * api.SECOND  # between two log lines that begin alike
+HOLD = api.SECOND // 10  # a request that no server may take now is tried again after this
+ASK_PART = 0.25  # list calls are repeated within this part of the time after which the node counts as told
+
+
+def fit_shape(ratio: float, share: float, shape_max: int = SHAPE_MAX) -> float | None:
+    """The least k >= 1 with P(k, k * ratio) = share, ratio = r / m; None if there is none."""
+    f = [gammainc(float(k), k * ratio) - share for k in range(1, shape_max + 1)]
+    if f[0] == 0.0:
+        return 1.0
+    low = next((float(k) for k in range(1, shape_max) if f[k - 1] * f[k] <= 0.0), 0.0)
+    if not low:
+        return float(shape_max) if f[0] < 0.0 < f[-1] - f[0] else None
+    high, rising = low + 1.0, f[int(low) - 1] < 0.0
+    while high - low > 1e-6:
+        middle = (low + high) / 2
+        if (gammainc(middle, middle * ratio) < share) == rising:
+            low = middle
+        else:
+            high = middle
+    return (low + high) / 2
+
+
+def fit_curve(mean: float, share: float, shape_max: int = SHAPE_MAX) -> tuple[float, float]:
+    """(shape, mean) of the Gamma with this mean and P(R <= REFERENCE) = share.
+
+    Without a root upward from k = 1: the exponential through the share alone (the paper's fit to
+    one figure) where it is below the exponential's: calls that miss; else the exponential of the mean.
+    """
+    share = min(max(share, 1e-3), 1 - 1e-6)
+    shape = fit_shape(REFERENCE / mean, share, shape_max)
+    if shape is not None:
+        return shape, mean
+    return 1.0, max(mean, -REFERENCE / math.log1p(-share))
+
+
+Candidate = tuple[float, float, "Server"]  # price, chance to answer in time, server
+
+
+def cheapest_set(candidates: Sequence[Candidate], target: float, most: int) -> list[Candidate]:
+    """The cheapest set of at most `most` whose joint chance reaches the target, else the best server."""
+    best: tuple[Candidate, ...] = ()
+    cost, kept = math.inf, list[Candidate]()
+    for c in sorted(candidates, key=lambda c: c[0]):
+        if c[1] >= target and c[0] < cost:
+            best, cost = (c,), c[0]
+        if sum(k[1] >= c[1] for k in kept) < most:
+            kept.append(c)
+    for size in range(2, most + 1):
+        if len(kept) < size or kept[0][0] * size >= cost:
+            break
+        for group in combinations([c for c in kept if c[0] < cost], size):
+            price = sum(c[0] for c in group)
+            if price < cost and 1.0 - math.prod(1.0 - c[1] for c in group) >= target:
+                best, cost = group, price
+    return list(best) or [max(candidates, key=lambda c: c[1])]
+
+
+class Evidence:
+    """Fading sums over outcomes; times are multiples of what each call was expected to take."""
+
+    __slots__ = ("half_life", "least", "trials", "hits", "ends", "time", "at")
+
+    def __init__(self, half_life: int, keeps: float = 1.0) -> None:
+        self.half_life, self.least = half_life, 1.0 - 1.0 / keeps  # what an outcome fades others to
+        self.trials = self.hits = 0.0  # outcomes judged against the reference time; within it
+        self.ends = self.time = 0.0  # answers; time waited for them and for misses
+        self.at = 0
+
+    def fade(self, now: int) -> float:
+        return math.exp2((self.at - now) / self.half_life)
+
+    def note(self, now: int, waited: float, ok: bool, lost: bool) -> None:
+        fade = max(self.fade(now), min(self.least, math.exp2((self.at - now) / HALF_LIFE)))
+        self.at = now
+        self.time = self.time * fade + waited
+        self.ends = self.ends * fade + ok
+        judged = ok or lost or waited > REFERENCE  # cancelled sooner, it might have made it
+        self.trials = self.trials * fade + judged
+        self.hits = self.hits * fade + (ok and waited <= REFERENCE)
+
+    def mean(self, now: int, prior: float, waiting: float = 0.0) -> float:
+        """Time waited over answers: a miss adds its time and no answer, so it never lowers the mean."""
+        fade = self.fade(now)
+        return (self.time * fade + waiting + PRIOR * prior) / (self.ends * fade + PRIOR)
+
+    def share(self, now: int, prior: float = FIRST_SHARE) -> float:
+        fade = self.fade(now)
+        return (self.hits * fade + PRIOR * prior) / (self.trials * fade + PRIOR)
+
+
+class Server:
+    """One server as this node sees it."""
+
+    __slots__ = ("entry", "own", "open", "open_rate", "open_sent", "credit", "credit_at", "links", "used")
+
+    def __init__(self, entry: api.ServerEntry, now: int, credit: float) -> None:
+        self.entry, self.own = entry, Evidence(HALF_LIFE)
+        self.open = 0  # this node's attempts that are out; below, sums over them
+        self.open_rate = self.open_sent = 0.0  # 1 / usual time; send time / usual time
+        self.credit, self.credit_at = credit, now  # calls a cold server may still get
+        self.links, self.used = 0, 0  # connections that answered; when one of them last did
+
+    def may_take(self, spec: api.RequestClass) -> bool:
+        """Placement: whether the class is open to this server's zone and kind, at every attempt."""
+        return (spec.zones is None or self.entry.zone in spec.zones) and (
+            spec.kinds is None or self.entry.kind in spec.kinds)
+
+    def warmth(self, now: int, settings: api.Settings) -> float:
+        """The share of its work that it can do at least; 1 when warm."""
+        if not self.entry.started or (age := now - self.entry.started) >= settings.cold_time:
+            return 1.0
+        return settings.cold_share + (1 - settings.cold_share) * max(age, 0) / settings.cold_time
+
+
+class ResendBudget:
+    """The stated budget of attempts beyond each request's first, over a sliding window."""
+
+    def __init__(self, settings: api.Settings) -> None:
+        self.share, self.free = settings.budget_share, settings.budget_free
+        self.window = settings.budget_window
+        self.taken = deque[int]()  # when requests came in, refused ones too
+        self.sent = deque[int]()  # when further attempts went out
+
+    def left(self, now: int) -> float:
+        """Further attempts that may go out now. At the window's very edge a request no longer counts."""
+        if self.share is None:
+            return math.inf
+        while self.taken and self.taken[0] <= now - self.window:
+            self.taken.popleft()
+        while self.sent and self.sent[0] < now - self.window:
+            self.sent.popleft()
+        return self.free + self.share * len(self.taken) - len(self.sent)
+
+    def note(self, now: int, events: deque[int]) -> None:
+        if self.share is not None:
+            self.left(now)  # forgets what has left the window
+            events.append(now)
+
+    def moot(self, sent: int) -> None:
+        """An attempt that never left the node does not count."""
+        if sent in self.sent:
+            self.sent.remove(sent)
+
+
+class Attempt:
+    __slots__ = ("server", "sent", "base", "expected", "status")
+
+    def __init__(self, server: Server, sent: int, base: float, expected: float) -> None:
+        self.server, self.sent, self.base, self.expected = server, sent, base, expected
+        self.status: api.Status | None = None  # None while it is out
+
+
+class Request:
+    __slots__ = ("id", "cls", "spec", "deadline", "harmless", "attempts", "closed", "streaming")
+
+    def __init__(self, event: api.RequestArrived, spec: api.RequestClass) -> None:
+        self.id, self.cls, self.spec, self.deadline = event.request, event.cls, spec, event.deadline
+        keyed_all = spec.effect is api.Effect.KEYED and spec.group is api.Group.ALL
+        self.harmless = spec.effect is api.Effect.SAFE or keyed_all  # a repeat at any server does nothing
+        self.attempts: list[Attempt] = []
+        self.closed = self.streaming = False
+
+    @property
+    def anchor(self) -> Attempt | None:
+        """The first attempt that may have run."""
+        return next((a for a in self.attempts if a.status is None or not a.status.never_ran), None)
+
+
+class Balancer:
+    """One node's decisions. Feed events in order; carry out the actions in order."""
+
+    def __init__(self, settings: api.Settings, seed: int) -> None:
+        self.settings = settings
+        self.random = random.Random(seed)
+        self.servers: dict[int, Server] = {}  # ready ones only: what may be sent to
+        self.requests: dict[int, Request] = {}
+        self.fits: dict[tuple[int, int, bool], tuple[float, float]] = {}  # curves worked out before
+        self.kinds: dict[int, Evidence] = {}  # all servers of one kind together
+        self.classes = [Evidence(CLASS_HALF_LIFE) for _ in settings.classes]  # times in aims
+        self.load = Evidence(LOAD_HALF_LIFE, LOAD_KEEPS)  # all calls, times in what their class usually takes
+        self.calm, self.calm_at = math.inf, 0  # the lowest load lately, and when it was judged
+        self.shares = [(0.0, 0)] * len(settings.tenants)  # requests in a tenant's share; when counted
+        self.out, self.busy = 0, 0.0  # attempts that are out; on average over the last arrivals
+        self.crowd = self.grown = 0.0  # how crowded it is; how many may be out beyond the first few
+        self.arrivals, self.pace = 0, 1.0  # requests so far; weight of the next one in averages
+        self.strain = 1.0  # how much longer calls take than they should, as judged at the last arrival
+        self.load_now, self.load_at = 1.0, -1  # the common load and when it was worked out
+        self.warm = Evidence(HALF_LIFE)  # answers of warm servers
+        self.flow = Evidence(LOAD_HALF_LIFE)  # answers, with the times that they usually take
+        self.spare = SPARE_MOST / 2  # further attempts (copies and retries) that answers have earned
+        self.budget = ResendBudget(settings)
+        self.scarce = 0  # until when new connections are not to be counted on
+        self.asking = False
+        self.said: dict[str, int] = {}  # when such a line for the one on call may be said again
+        self.actions: list[api.Action] = []
+
+    def handle(self, now: int, event: api.Event) -> list[api.Action]:
+        self.actions = []
+        if isinstance(event, api.AttemptEnded):
+            self._ended(now, event)
+        elif isinstance(event, api.RequestArrived):
+            self._arrived(now, event)
+        elif isinstance(event, api.TimerFired):
+            self._fired(now, event.token)
+        elif isinstance(event, api.ListUpdate):
+            self._listed(now, event)
+        elif isinstance(event, api.RequestGone) and event.request in self.requests:
+            self._close(self.requests[event.request])
+        elif isinstance(event, api.StreamStarted) and (request := self.requests.get(event.request)):
+            request.streaming = True
+            self._cancel_others(request, event.attempt)
+        return self.actions
+
+    def _say(self, now: int, text: str) -> None:
+        """A line for the one on call; of those that begin alike, one in SAY_EVERY."""
+        if now >= self.said.get(text[:4], 0):
+            self.said[text[:4]] = now + SAY_EVERY
+            self.actions.append(api.Log(text))
+
+    def _listed(self, now: int, event: api.ListUpdate) -> None:
+        if self.settings.ask_for_list and event.kind is api.ListKind.CACHED:
+            self.actions.append(api.Subscribe())
+        elif self.settings.ask_for_list and event.kind is api.ListKind.FAILED and not self.asking:
+            self._say(now, f"list failed: going on with the {len(self.servers)} servers of the last one")
+            self.asking = True  # anew after a jittered pause: when the list fails, all nodes fail together
+            pause = self.random.uniform(ASK_PART / 4, ASK_PART) * self.settings.ask_within
+            self.actions.append(api.SetTimer(0, int(pause)))
+        if event.kind in (api.ListKind.FULL, api.ListKind.CACHED):
+            named = {e.server for e in event.entries}
+            self.servers = {s: v for s, v in self.servers.items() if s in named}
+        for entry in event.entries:
+            known = self.servers.get(entry.server)
+            if entry.state is not api.State.READY:
+                self.servers.pop(entry.server, None)
+            elif known is None or known.entry.started != entry.started:
+                self.servers[entry.server] = Server(entry, now, self.random.random())
+            else:
+                known.entry = entry
+
+    def _arrived(self, now: int, event: api.RequestArrived) -> None:
+        request = Request(event, self.settings.classes[event.cls])
+        self.requests[request.id] = request
+        self.budget.note(now, self.budget.taken)
+        if now >= self._due(request) or not self._admit(now, event):
+            self._settle(request)
+        else:
+            self.actions.append(api.SetTimer(request.id << 1 | 1, self._due(request) - now))
+            self._place(now, request)
+
+    def _due(self, request: Request) -> int:
+        """Settle two ticks ahead of the client: a timer fires in the first batch at or past its time."""
+        return request.deadline - 2 * self.settings.tick
+
+    def _worth(self, now: int, event: api.RequestArrived) -> float:
+        """A request's worth; less once its tenant has used up this node's part of the allowance."""
+        worth, tenants = self.settings.classes[event.cls].worth, self.settings.tenants
+        if event.tenant < len(tenants) and tenants[event.tenant].allowance > 0.0 and not event.repeat:
+            rate = tenants[event.tenant].allowance / self.settings.siblings
+            left, at = self.shares[event.tenant]
+            left = min(left + rate * (now - at) / api.SECOND, max(rate, 1.0))
+            self.shares[event.tenant] = (left - 1.0 if left >= 1.0 else left), now
+            worth *= 1.0 if left >= 1.0 else self.settings.over_share_worth
+        return worth
+
+    def _admit(self, now: int, event: api.RequestArrived) -> bool:
+        """Whether to try at all; only at the first tier, as further down the work above is already done.
+
+        Guards against overload and crowding, where queues only grow and servers may turn slow and stay so.
+        """
+        if self.settings.tier:
+            return True
+        worth, load = self._worth(now, event), self._load(now)
+        part = max(len(self.servers), 1) / self.settings.siblings  # this node's part of the servers
+        # Guards against taking chance for calm or crowding: a mean of few answers strays by so much.
+        few = NOISE / math.sqrt(max(self.load.ends * self.load.fade(now), 1e-9))
+        self.calm = min(load * (1.0 + few), self.calm * (1.0 + (now - self.calm_at) / CALM_DOUBLES))
+        # Guards against a calm load that was never seen: calls near their aims are too slow in any case.
+        # All classes together: the worst of several means of few is far off by chance.
+        seen = [c.trials * c.fade(now) + PRIOR for c in self.classes]
+        near = sum(c.mean(now, FIRST_MEAN) * n for c, n in zip(self.classes, seen, strict=True)) / sum(seen)
+        slow, self.calm_at = CROWD_LEAST * load * near / AIM_PART / (1.0 + few), now
+        self.strain = max(load / self.calm / (1.0 + few), slow)
+        # Guards against crowding servers before answers tell; of many nodes each holds its part on average.
+        window, self.arrivals = FIRST_CALLS * part + self.grown, self.arrivals + 1
+        self.pace = min(1.0, max(window / STEADY, 1.0 / self.arrivals))
+        self.busy += (self.out - self.busy) * self.pace
+        crowd = max(CROWD_LEAST * (self.busy / window) ** 2, self.strain)
+        crowd = self.crowd = self.crowd + (min(crowd, CROWD_MOST + 1.0) - self.crowd) * self.pace
+        works = [1.0 if self.settings.worth_by_work else self._base(now, i) for i in range(len(self.classes))]
+        most = max(spec.worth / work for spec, work in zip(self.settings.classes, works, strict=True))
+        limit = CROWD_LEAST + (CROWD_MOST - CROWD_LEAST) * worth / works[event.cls] / most
+        # Guards against refusing for ever: with fewer calls out than servers the load is not ours.
+        if refused := self.busy >= part and self.random.random() >= 1.0 + limit - crowd:
+            self._say(now, f"refusing: load {load / self.calm:.1f} times the calm one, {self.out} calls out")
+        return not refused
+
+    def _fired(self, now: int, token: int) -> None:
+        request = self.requests.get(token >> 1)
+        if token == 0:
+            self.asking = False
+            self.actions.append(api.Subscribe())
+        elif request and not request.closed and not request.streaming:
+            if now >= self._due(request):
+                self._settle(request)
+            elif all(a.status is not None for a in request.attempts):
+                self._place(now, request)
+
+    def _place(self, now: int, request: Request) -> None:
+        """Send to the cheapest set of servers that the request's class allows; hold if there is none."""
+        spec, tried, anchor, allow = request.spec, request.attempts, request.anchor, self.settings
+        room = allow.max_attempts - len(tried) if now < self._due(request) else 0
+        further = int(min(self.spare, self.budget.left(now)))
+        if room <= 0 or (anchor and spec.effect is api.Effect.UNSAFE) or (tried and further < 1):
+            return self._settle(request)
+        races = spec.effect is not api.Effect.UNSAFE and allow.may_duplicate and allow.may_cancel
+        most = min(SET_MOST, room, further + (not tried)) if races else 1
+        base, load = self._base(now, request.cls), self._load(now)
+        pool, used = [s for s in self._pool(now) if s.may_take(spec)], [a.server for a in tried]
+        pool = [s for s in pool if s not in used] or pool  # one that failed comes last
+        if anchor and spec.effect is api.Effect.KEYED:
+            if now >= anchor.sent + spec.window:
+                return self._settle(request)
+            pool = [s for s in pool if self._same_group(spec, s, anchor.server)]
+        if now < self.scarce:
+            idle = [s for s in pool if s.open < s.links and now < s.used + allow.idle_close]
+            pool = idle if len(idle) >= SET_MOST else pool
+        look = max(SET_MOST, math.ceil(LOOKERS * len(self.servers) / self.settings.siblings))
+        pool = self.random.sample(pool, min(len(pool), look, POOL_MOST))
+        if not pool:
+            return self.actions.append(api.SetTimer(request.id << 1 | 1, HOLD))
+        left = (request.deadline - now) / (base * load)
+        candidates = [self._candidate(now, left, s) for s in pool]
+        chosen = cheapest_set(candidates, TARGET, most)
+        if len(chosen) > 1 and not request.harmless:  # a keyed race stays inside one group
+            home = chosen[0][2]
+            chosen = cheapest_set([c for c in candidates if self._same_group(spec, c[2], home)], TARGET, most)
+        for _price, _chance, server in chosen:
+            self._send(now, request, server, base, load)
+        return None
+
+    def _base(self, now: int, cls: int) -> float:
+        """What a call of this class usually takes, in nanoseconds."""
+        return max(self.classes[cls].mean(now, FIRST_MEAN), 1e-3) * self.settings.classes[cls].aim
+
+    def _load(self, now: int) -> float:
+        """How long calls take now, as a multiple of the usual; calls still out count by their age.
+
+        Guards against silent servers passing for a common load: overdue calls do not count.
+        """
+        if now != self.load_at:
+            ages = ((now * s.open_rate - s.open_sent, s.open) for s in self.servers.values() if s.open)
+            waiting = sum(age for age, calls in ages if age <= REFERENCE * calls * self.load_now)
+            self.load_now, self.load_at = self.load.mean(now, 1.0, waiting), now
+        return self.load_now
+
+    def _candidate(self, now: int, left: float, server: Server) -> Candidate:
+        """The server's price and its chance to answer within `left` times the expected time.
+
+        Its kind's outcomes stand in for PRIOR of its own: each node has few.
+        """
+        kind, own = self.kinds.setdefault(server.entry.kind, Evidence(CLASS_HALF_LIFE)), server.own
+        # Guards against silent servers: a call that is out adds its age though nothing ended.
+        waiting = max(0.0, now * server.open_rate - server.open_sent) / self._load(now)
+        mean = max(own.mean(now, kind.mean(now, 1.0), waiting), 1e-3)
+        share, sparse = own.share(now, kind.share(now)), own.trials * own.fade(now) < SPARSE
+        key = round(50 * math.log(mean)), min(round(200 * share), 199), sparse  # steps of 2% and 0.5%
+        if key not in self.fits:
+            self.fits[key] = fit_curve(math.exp(key[0] / 50), key[1] / 200, 1 if sparse else SHAPE_MAX)
+        shape, mean = self.fits[key]
+        crosses = self.settings.prices.cross_zone > 0 and server.entry.zone != self.settings.zone
+        price = (server.open + 1) * mean * (CROSSING if crosses else 1.0)
+        return price, float(gammainc(shape, shape * left / mean)), server
+
+    @staticmethod
+    def _same_group(spec: api.RequestClass, a: Server, b: Server) -> bool:
+        if spec.group is api.Group.ZONE:
+            return a.entry.zone == b.entry.zone
+        return spec.group is api.Group.ALL or a.entry.cell == b.entry.cell
+
+    def _send(self, now: int, request: Request, server: Server, base: float, load: float) -> None:
+        # Guards against storms: copies and retries are earned by answers only, as every tier multiplies them.
+        if request.attempts:
+            self.spare -= 1.0
+            self.budget.note(now, self.budget.sent)
+        attempt = Attempt(server, now, base, base * load)
+        request.attempts.append(attempt)
+        self._track(attempt, 1)
+        if server.warmth(now, self.settings) < 1.0:
+            server.credit -= 1.0
+        self.actions.append(api.Send(request.id, server.entry.server))
+
+    def _pool(self, now: int) -> list[Server]:
+        """The servers that may take a call: warm ones, and cold ones with room in this node's part.
+
+        Guards against pushing over a cold server: each node gives it a part of the rate at which warm ones
+        answer that node, so that the sum keeps the budget. Fresh credit is random, or all would send at once.
+        """
+        warmths = [(s, s.warmth(now, self.settings)) for s in self.servers.values()]
+        cold = [(s, warmth) for s, warmth in warmths if warmth < 1.0]
+        warm = max(len(warmths) - len(cold), 1) * HALF_LIFE / math.log(2)
+        each = self.warm.ends * self.warm.fade(now) / warm  # what a warm server answers in a nanosecond
+        for s, warmth in cold:
+            part = min(1.0, COLD_PART * self.settings.cold_multiple * warmth) * each
+            s.credit, s.credit_at = min(1.0, s.credit + part * (now - s.credit_at)), now
+        return [s for s, warmth in warmths if warmth >= 1.0 or s.credit >= 1.0]
+
+    def _track(self, attempt: Attempt, by: int) -> None:
+        """Keep the sums over open attempts, whose age counts as time waited."""
+        server = attempt.server
+        server.open += by
+        self.out += by
+        server.open_rate += by / attempt.base
+        server.open_sent += by * attempt.sent / attempt.base
+
+    def _learn(self, now: int, request: Request, attempt: Attempt, latency: int) -> None:
+        """Take in how an attempt ended. A cancelled one only tells that it took longer than it had."""
+        ok = attempt.status is api.Status.OK
+        lost = not ok and attempt.status is not api.Status.CANCELLED
+        server, waited = attempt.server, latency / attempt.expected
+        if ok:
+            server.links, server.used = max(server.links, server.open + 1), now
+        elif attempt.status is api.Status.CONNECT_FAILED:
+            # Guards against full connection tables, slow handshakes and dead servers: keep to open ones.
+            self.scarce, server.links = now + self.settings.idle_close, 0
+        server.own.note(now, waited, ok, lost)
+        self.kinds[server.entry.kind].note(now, waited, ok, lost)
+        # The common load is taken out, or a busy start would pass for what the class usually takes.
+        self.classes[request.cls].note(now, latency / request.spec.aim / self._load(now), ok, lost)
+        if ok or waited <= REFERENCE:
+            self.load.note(now, latency / attempt.base, ok, lost)
+        if server.warmth(now, self.settings) >= 1.0:
+            self.warm.note(now, waited, ok, lost)
+
+    def _ended(self, now: int, event: api.AttemptEnded) -> None:
+        request = self.requests.get(event.request)
+        if request is None or event.attempt >= len(request.attempts):
+            return
+        attempt = request.attempts[event.attempt]
+        if attempt.status is not None:  # told before
+            return
+        attempt.status = event.status
+        self._track(attempt, -1)
+        if event.status is not api.Status.MOOT:
+            self._learn(now, request, attempt, event.latency)
+        elif event.attempt:
+            self.budget.moot(attempt.sent)
+        if event.status is api.Status.FULL:
+            # Guards against servers that turn away before times tell: too much is out already. Also slows
+            # growth while servers throttle one class; harmless there, as the first few calls stay.
+            self.grown = max(self.grown - FULL_SHRINKS * GROWTH * self.pace, 0.0)
+        if event.status is api.Status.OK:
+            self.spare = min(SPARE_MOST, self.spare + SPARE_SHARE)
+            # Guards against growing with the queues themselves: answers at their usual times need so many.
+            self.flow.note(now, attempt.base, True, False)
+            need = ROOM * self.flow.time * math.log(2) / LOAD_HALF_LIFE
+            if self.strain < GROWTH_MOST and self.grown < need:
+                self.grown += GROWTH * self.pace
+            elif self.strain > CROWD_LEAST or self.grown > need:
+                self.grown = max(self.grown - GROWTH * self.pace, 0.0)
+        if event.closed or event.status is api.Status.OK or request.closed:
+            self._cancel_others(request, event.attempt)
+            self._close(request)
+        elif not request.streaming and all(a.status is not None for a in request.attempts):
+            self._place(now, request)
+
+    def _cancel_others(self, request: Request, winner: int) -> None:
+        for index, attempt in enumerate(request.attempts):
+            if attempt.status is None and index != winner and self.settings.may_cancel:
+                self.actions.append(api.Cancel(request.id, index))
+
+    def _settle(self, request: Request) -> None:
+        """The final answer where no server gave one: a refusal only if a further try is harmless."""
+        harmless = request.harmless or request.anchor is None
+        self.actions.append(api.Refuse(request.id) if harmless else api.Fail(request.id))
+        self._cancel_others(request, -1)
+        self._close(request)
+
+    def _close(self, request: Request) -> None:
+        """Nothing more is sent; it is kept only until its last attempt has ended."""
+        request.closed = True
+        if all(a.status is not None for a in request.attempts):
+            del self.requests[request.id]
--- /dev/null
+++ b/tests/run.sh
@@ -0,0 +1,12 @@
+#!/bin/sh
+# The whole verdict: linter, strict types, tests. Makes its own .venv from the pinned requirements.
+set -e
+cd "$(dirname "$0")/.."
+if ! cmp -s requirements-dev.txt .venv/installed-dev.txt; then
+    python3 -m venv .venv
+    .venv/bin/pip -q install -r requirements-dev.txt
+    cp requirements-dev.txt .venv/installed-dev.txt
+fi
+.venv/bin/ruff check .
+.venv/bin/mypy
+.venv/bin/python -m pytest -q
