--- a/rudderflow/benchlink.py
+++ b/minthitch/benchlink.py
@@ -13,8 +13,8 @@
 from collections.abc import Callable
 from typing import Any, BinaryIO, TypeVar
 
-from rudderflow import interface as api
-from rudderflow.policy import Balancer
+from minthitch import interface as api
+from minthitch.policy import Balancer
 
 HEADER = struct.Struct(">IIQI")
 REPLY_HEADER = struct.Struct(">III")
--- a/rudderflow/policy.py
+++ b/minthitch/policy.py
@@ -1,4 +1,4 @@
-"""Every decision of the balancer. Settings, events and actions: rudderflow/interface.py.
+"""Every decision of the balancer. Settings, events and actions: minthitch/interface.py.
 
 Request Replication (docs/design.md): per server a latency curve fitted to this node's own outcomes; per call
 the cheapest set of servers whose joint chance to answer in time reaches the target, raced; losers cancelled.
@@ -14,7 +14,7 @@
 
 from scipy.special.cython_special import gammainc  # ten times cheaper for scalars than the array form
 
-from rudderflow import interface as api
+from minthitch import interface as api
 
 SHAPE_MAX = 64  # largest Gamma shape k; beyond it a curve is as good as a step at its mean
 HALF_LIFE = 10 * api.SECOND  # age at which an outcome counts half: servers change within tens of seconds
--- a/tests/rules.py
+++ b/tests/rules.py
@@ -5,12 +5,12 @@
 import random
 from dataclasses import dataclass, field
 
-from rudderflow.interface import (
+from minthitch.interface import (
     MILLISECOND, SECOND, Action, AttemptEnded, Cancel, Effect, Event, Fail, Group, HangUp, ListKind,
     ListUpdate, Log, Probe, Refresh, Refuse, RequestArrived, RequestClass, RequestGone, Send, ServerEntry,
     SetTimer, Settings, State, Status, Subscribe, Tell, TimerFired,
 )
-from rudderflow.policy import Balancer
+from minthitch.policy import Balancer
 
 MS = MILLISECOND
 SAFE = RequestClass("read", SECOND, 3 * SECOND, Effect.SAFE, worth=2.0)
--- a/tests/test_curve.py
+++ b/tests/test_curve.py
@@ -10,8 +10,8 @@
 import pytest
 from scipy.special import gammainc
 
-from rudderflow import policy
-from rudderflow.policy import cheapest_set, fit_curve, fit_shape
+from minthitch import policy
+from minthitch.policy import cheapest_set, fit_curve, fit_shape
 
 
 def test_fit_reproduces_the_papers_worked_value() -> None:
--- a/tests/test_many_nodes.py
+++ b/tests/test_many_nodes.py
@@ -1,6 +1,6 @@
 """One node of many: it sees a few calls a second and has less than a call in its part of the window."""
 
-from rudderflow.interface import SECOND, Send
+from minthitch.interface import SECOND, Send
 from tests.rules import CLASSES, MS, SAFE, UNSAFE, Node, settings
 
 MANY = settings(siblings=900)
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -8,18 +8,18 @@
 import sys
 from pathlib import Path
 
-from rudderflow.interface import ListKind, ListUpdate, Log
+from minthitch.interface import ListKind, ListUpdate, Log
 from tests.rules import MS, Node, settings
 
 ROOT = Path(__file__).parent.parent
-MODULE = (ROOT / "rudderflow" / "policy.py").read_text()
+MODULE = (ROOT / "minthitch" / "policy.py").read_text()
 
 
 def test_the_module_stays_within_its_size() -> None:
     lines = [line for line in MODULE.splitlines() if line.strip()]
     assert len(lines) <= 460
     assert max(map(len, lines)) <= 110
-    assert "rudderflow/interface.py" in lines[0]
+    assert "minthitch/interface.py" in lines[0]
 
 
 def test_the_module_has_no_clock_no_io_and_no_global_randomness() -> None:
--- a/tests/test_rounds.py
+++ b/tests/test_rounds.py
@@ -8,10 +8,10 @@
 
 import pytest
 
-from rudderflow.interface import (
+from minthitch.interface import (
     SECOND, AttemptEnded, ListKind, ListUpdate, Prices, Refuse, Send, ServerEntry, Status,
 )
-from rudderflow.policy import TARGET, Balancer, Candidate, Server
+from minthitch.policy import TARGET, Balancer, Candidate, Server
 from tests.rules import MS, SAFE, UNSAFE, Node, settings
 
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -6,13 +6,13 @@
 
 import pytest
 
-from rudderflow import policy
-from rudderflow.interface import (
+from minthitch import policy
+from minthitch.interface import (
     SECOND, Action, AttemptEnded, Cancel, Fail, HangUp, ListKind, ListUpdate, Log, Prices, Probe, Refuse,
     RequestArrived, RequestGone, Send, ServerEntry, Settings, State, Status, StreamStarted, Subscribe,
     Tell, Tenant, TimerFired,
 )
-from rudderflow.policy import POOL_MOST, Balancer, Candidate, ResendBudget, Server
+from minthitch.policy import POOL_MOST, Balancer, Candidate, ResendBudget, Server
 from tests.rules import (
     ALL_CLASSES, BOUND, BOUND_UNSAFE, CLASSES, KEYED_ALL, KEYED_CELL, KEYED_ZONE, MS, SAFE, UNSAFE, Node,
     entries, hostile_day, settings,
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -11,9 +11,9 @@
 
 import pytest
 
-from rudderflow import benchlink
-from rudderflow.policy import Balancer
-from rudderflow.interface import (
+from minthitch import benchlink
+from minthitch.policy import Balancer
+from minthitch.interface import (
     Action, AttemptEnded, Cancel, Effect, Event, Fail, Group, HangUp, ListKind, ListUpdate, Log,
     PeerMessage, Probe, ProbeEnded, Refresh, Refuse, RequestArrived, RequestGone, Send, ServerEntry,
     SetTimer, Settings, State, Status, StreamStarted, Subscribe, Tell, TimerFired,
@@ -253,7 +253,7 @@
 
 
 def test_the_process_answers_and_ends_with_its_input() -> None:
-    run = subprocess.run([sys.executable, "-m", "rudderflow.benchlink"], input=frame([up()], SETTINGS),
+    run = subprocess.run([sys.executable, "-m", "minthitch.benchlink"], input=frame([up()], SETTINGS),
                          capture_output=True, timeout=60)
     assert (run.returncode, run.stderr, len(run.stdout)) == (0, b"", 12)
 
