A caller that leaves ends its attempts

Observed: after RequestGone an attempt went on until its deadline; over three tiers that is work for nobody. Cause: handle() in policy.py only closed the request there. Excluded: the socket layer, which reported the leaving (by_caller was empty at once). The loopback test waits for the server to see its connection closed; without the change it times out.

--- a/minthitch/policy.py
+++ b/minthitch/policy.py
@@ -252,8 +252,9 @@
             self._fired(now, event.token)
         elif isinstance(event, api.ListUpdate):
             self._listed(now, event)
-        elif isinstance(event, api.RequestGone) and event.request in self.requests:
-            self._close(self.requests[event.request])
+        elif isinstance(event, api.RequestGone) and (gone := self.requests.get(event.request)):
+            self._cancel_others(gone, -1)  # guards against work, in every tier below, that nobody waits for
+            self._close(gone)
         elif isinstance(event, api.StreamStarted) and (request := self.requests.get(event.request)):
             request.streaming = True
             self._cancel_others(request, event.attempt)
--- a/tests/net.py
+++ b/tests/net.py
@@ -26,7 +26,7 @@
         {"name": "keyed", "effect": "by_key", "group": "cell", "windowNs": 10000 * MS,
          "objectiveNs": 4000 * MS, "deadlineNs": 8000 * MS},
         {"name": "unsafe", "effect": "once", "objectiveNs": 4000 * MS, "deadlineNs": 8000 * MS}],
-    "policyLimits": {"connectTimeoutNs": 2000 * MS, "idleCloseNs": 30000 * MS, "maxOpen": 100, "sendCap": 4,
+    "policyLimits": {"connectTimeoutNs": 2000 * MS, "idleCloseNs": 600_000 * MS, "maxOpen": 100, "sendCap": 4,
                      "maxRetryAfterNs": 2000 * MS, "mayCancel": True, "mayDuplicate": True,
                      "retryAfter": True},
     "rules": {"drainGraceNs": 500 * MS, "graceToAnswerNs": 20 * MS},
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import time
 from collections.abc import Callable, Coroutine
 from contextlib import suppress
 from typing import Any
@@ -11,7 +12,7 @@
 import pytest
 import uvloop
 
-from minthitch.interface import TimerFired
+from minthitch.interface import SetTimer, TimerFired
 from minthitch.net.servers import Connection, Pool, Server
 from tests.net import OK, PATIENCE, SETTINGS, Seen, call, reply, reset, rig, serve_ok
 
@@ -154,14 +155,17 @@
 
 async def _race() -> None:
     async def script(seen: Seen) -> bytes | None:
-        return None if seen is r.sends[0] and len(r.sends) == 1 else OK
+        first.append(seen)
+        return None if len(first) == 1 else OK
 
+    first: list[Seen] = []
     async with rig(script, script, script, classes=RACED) as r:
         caller = await r.caller()
         status, _, body = await caller.ask(call("safe", left="2000m"))
         assert (status, body) == (200, b"done")
         assert len(r.sends) > 1
-        await r.until(lambda: sum(s.closed for s in r.servers) >= 1)  # the loser's is closed, not kept
+        silent = next(s for s in r.servers if s.seen and s.seen[0] is first[0])
+        await silent.until(lambda: silent.closed == 1)  # the loser's connection is closed, not kept
         again, _, _ = await caller.ask(call("safe"))
         assert again == 200
         await r.until(lambda: not r.node.requests)
@@ -364,12 +368,14 @@
 
 
 async def _caller_gone() -> None:
-    async with rig(_never) as r:
+    patient = [{**spec, "deadlineNs": 90_000 * 1_000_000} for spec in SETTINGS["classes"]]
+    async with rig(_never, classes=patient) as r:
         caller = await r.caller()
-        caller.writer.write(call("unsafe"))
+        caller.writer.write(call("unsafe", left="90000m"))
         await r.servers[0].until(lambda: bool(r.servers[0].seen))
         caller.writer.close()
-        await r.until(lambda: not r.node.by_caller)
+        await r.servers[0].until(lambda: r.servers[0].closed == 1)  # nobody waits: the attempt is given up
+        await r.until(lambda: not r.node.requests)
         assert (await r.ask(b"GET /ready HTTP/1.1\r\n\r\n"))[0] == 200
 
 
@@ -478,3 +484,24 @@
 
 def test_events_wait_while_the_decisions_are_at_work(monkeypatch: pytest.MonkeyPatch) -> None:
     run(_events_wait, monkeypatch)
+
+
+async def _timers() -> None:
+    async with rig(serve_ok) as r:
+        early: list[int] = []
+        due: dict[int, int] = {}
+
+        def posted(event: Any) -> None:
+            early.append(due.pop(event.token) - time.monotonic_ns())
+
+        r.node.post = posted  # type: ignore[method-assign]
+        for token in range(300):
+            delay = 1_000_000 + token * 70_001
+            due[token] = time.monotonic_ns() + delay
+            r.node._act(SetTimer(token, delay))
+        await r.until(lambda: not due)
+        assert max(early) <= 0  # one that comes early is ignored, and no other follows
+
+
+def test_no_timer_comes_early() -> None:
+    run(_timers)
