A refusal tells the client when to come back

Cause: _settle() in policy.py sent Refuse without a pause. Excluded: the socket layer, which writes the header when given one. Now 0.15 to 0.45 of the class's aim, jittered, at most max_retry_after; the answer itself goes out at once, as before.

--- a/minthitch/policy.py
+++ b/minthitch/policy.py
@@ -47,6 +47,7 @@
 LOOKERS = 20.0  # nodes that look at a server if all call at once: guards against all crowding the best
 SAY_EVERY = 10 * api.SECOND  # between two log lines that begin alike
 HOLD = api.SECOND // 10  # a request that no server may take now is tried again after this
+BACK_PART = 0.15, 0.45  # a refused client comes back after this part of its aim: it may still be in time
 ASK_PART = 0.25  # list calls are repeated within this part of the time after which the node counts as told
 
 
@@ -519,8 +520,12 @@
 
     def _settle(self, request: Request) -> None:
         """The final answer where no server gave one: a refusal only if a further try is harmless."""
-        harmless = request.harmless or request.anchor is None
-        self.actions.append(api.Refuse(request.id) if harmless else api.Fail(request.id))
+        if request.harmless or request.anchor is None:
+            # Guards against all that were refused together coming back together, before queues are shorter.
+            pause = self.random.uniform(*BACK_PART) * request.spec.aim if self.settings.retry_after else 0.0
+            self.actions.append(api.Refuse(request.id, min(int(pause), self.settings.max_retry_after)))
+        else:
+            self.actions.append(api.Fail(request.id))
         self._cancel_others(request, -1)
         self._close(request)
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 import socket
 import time
 from collections.abc import Callable, Coroutine
@@ -118,7 +119,12 @@
         got, head, _ = await r.ask(call(cls, left="700m"))
         assert got == status
         assert len(r.sends) >= 1
-        assert b"Retry-After" not in head or status == 503
+        pause = re.search(rb"\r\nRetry-After: (\d+\.\d+)\r\n", head)
+        assert bool(pause) == (status == 503)
+        assert pause is None or 0.6 <= float(pause[1]) <= 1.8  # 0.15 to 0.45 of the aim
+    async with rig(_never, policyLimits={"retryAfter": False}) as r:
+        _, head, _ = await r.ask(call(cls, left="300m"))
+        assert b"Retry-After" not in head
 
 
 def test_silence_ends_in_a_failure_for_unsafe_and_a_refusal_for_safe_requests() -> None:
