--- a/minthitch/policy.py
+++ b/minthitch/policy.py
@@ -47,7 +47,7 @@
 LOOKERS = 20.0  # nodes that look at a server if all call at once: guards against all crowding the best
 SAY_EVERY = 10 * api.SECOND  # between two log lines that begin alike
 HOLD = api.SECOND // 10  # a request that no server may take now is tried again after this
-BACK_PART = 0.15, 0.45  # a refused client comes back after this part of its aim: it may still be in time
+BACK_PART = 0.04, 0.12  # a refused client comes back after this part of its aim: it may still be in time
 ASK_PART = 0.25  # list calls are repeated within this part of the time after which the node counts as told
 
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -121,7 +121,7 @@
         assert len(r.sends) >= 1
         pause = re.search(rb"\r\nRetry-After: (\d+\.\d+)\r\n", head)
         assert bool(pause) == (status == 503)
-        assert pause is None or 0.6 <= float(pause[1]) <= 1.8  # 0.15 to 0.45 of the aim
+        assert pause is None or 0.15 <= float(pause[1]) <= 0.49  # 0.04 to 0.12 of the aim
     async with rig(_never, policyLimits={"retryAfter": False}) as r:
         _, head, _ = await r.ask(call(cls, left="300m"))
         assert b"Retry-After" not in head
