Faults of our own are answered, and an answer meets only its own request

A fault between a request's last byte and the decisions would have left its caller without an answer (callers.py, _next): a test that makes take() fail timed out before. Discovery's addresses must be numbers, as a name would be looked up and there is no DNS: the new bad line was taken before.

--- a/minthitch/net/callers.py
+++ b/minthitch/net/callers.py
@@ -169,6 +169,8 @@
                 self._route(item)
             except BadRequest as err:
                 self._reject(err, keep=item.keep)
+            except Exception as err:  # danger: a fault of ours must not leave the caller unanswered
+                self._reject(BadRequest(502, f"{type(err).__name__}: {err}"), keep=False)
         if transport and not transport.is_closing():
             if self.waiting and transport.is_reading():
                 transport.pause_reading()
--- a/minthitch/net/discovery.py
+++ b/minthitch/net/discovery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import ipaddress
 import json
 import math
 from collections.abc import Callable
@@ -46,7 +47,10 @@
     host, colon, port = text.rpartition(":")
     if not colon or not host or not port.isdecimal() or not 0 < int(port) < 65536:
         raise DiscoveryError(f"bad address {text[:60]!r}")
-    return host.strip("[]"), int(port)
+    try:  # danger: a name would be looked up, and there is no DNS
+        return str(ipaddress.ip_address(host.strip("[]"))), int(port)
+    except ValueError:
+        raise DiscoveryError(f"bad address {text[:60]!r}") from None
 
 
 def _whole(row: dict[str, Any], name: str, default: int | None) -> int:
--- a/minthitch/net/node.py
+++ b/minthitch/net/node.py
@@ -285,7 +285,8 @@
         if request.over:  # danger: a second answer would pass for the next request's
             return
         self._over(request)
-        request.caller.answer(status, body, content_type, retry_after)
+        if request.caller.current is request.call:  # danger: the answer must not meet another request
+            request.caller.answer(status, body, content_type, retry_after)
 
     def _over(self, request: Request) -> None:
         request.over = True
--- a/minthitch/net/servers.py
+++ b/minthitch/net/servers.py
@@ -216,7 +216,7 @@
         try:
             async with asyncio.timeout(self.connect_timeout):
                 connection = await self._open(attempt.server)
-        except (OSError, TimeoutError):
+        except (OSError, TimeoutError, ValueError):  # the last for an address that no socket takes
             attempt.connecting = None
             attempt.end(api.Status.CONNECT_FAILED)
             return
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -461,7 +461,9 @@
         assert (await r.ask(call("safe")))[0] == 502
         monkeypatch.setattr(r.node.balancer, "handle", lambda now, event: [])
         assert (await r.ask(call("safe", left="200m")))[0] == 502  # held past its time
-        monkeypatch.setattr(r.node.balancer, "handle", real)
+        monkeypatch.setattr(r.node, "take", lambda caller, call: 1 // 0)
+        assert (await r.ask(call("safe")))[0] == 502  # a fault before the decisions
+        monkeypatch.undo()
         assert (await r.ask(call("safe")))[0] == 200
 
 
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -157,6 +157,7 @@
     b"no JSON", b"[]", b'{"seq": 9}', b'{"seq": 9, "hosts": [4]}', b'{"seq": "x", "hosts": []}',
     b'{"seq": 9, "hosts": [{"host": "s0", "dial": "nowhere", "health": "up"}]}',
     b'{"seq": 9, "hosts": [{"host": "s0", "dial": "127.0.0.1:9", "health": "odd"}]}',
+    b'{"seq": 9, "hosts": [{"host": "s0", "dial": "some.name:9", "health": "up"}]}',
     b'{"seq": 9, "whole": true, "hosts": [{"host": "s0", "dial": "127.0.0.1:9", "born_ms": "now"}]}',
 ])
 def test_a_bad_line_is_logged_and_the_old_list_stays(line: bytes, capfd: pytest.CaptureFixture[str]) -> None:
