Spoilt answers fail at once, good ones are served whatever follows; SIGHUP reads discovery anew

Cause: servers.on_body joined a second copy in the same read to the first answer's parts (trace: all such reads held exactly two copies); noise behind a good answer raised in feed_data and made it ERROR. SIGHUP had no handler. Ruled out by the same trace: lengths shorter than their body (only doubled or negative ones came). Now the first final answer is frozen, a connection with more to say is closed, a kept one is polled for unread bytes before its next request, heads and whole answers are bounded in raw bytes, a declared length is refused on the header, and the pool's own lack ends as MOOT. A SIGHUP takes the new discovery's list in full.

--- a/minthitch/__main__.py
+++ b/minthitch/__main__.py
@@ -53,13 +53,22 @@
         raise ConfigError(str(err)) from None
 
 
-async def serve(config: Config) -> None:
+def reload(node: Node, path: str) -> None:
+    """SIGHUP: reads the file again; one that can't be used changes nothing."""
+    try:
+        node.reload(read_config(path))
+    except ConfigError as err:
+        node.log(f"configuration not taken: {' '.join(str(err).split())}")
+
+
+async def serve(config: Config, path: str) -> None:
     node = Node(config)
     loop = asyncio.get_running_loop()
     loop.set_exception_handler(lambda _loop, context: node.log(
         f"{context.get('message')}: {context.get('exception')!r}"))
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, node.drain)
+    loop.add_signal_handler(signal.SIGHUP, reload, node, path)
     await node.start()
     gc.collect()
     gc.freeze()  # what is here now stays; the collector need not walk it
@@ -78,7 +87,7 @@
         return 2
     try:
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(serve(config))
+            runner.run(serve(config, path))
     except OSError as err:
         print(f"minthitch: cannot listen on {config.listen[0]}:{config.listen[1]}: {err}", file=sys.stderr)
         return 1
--- a/minthitch/net/node.py
+++ b/minthitch/net/node.py
@@ -12,7 +12,7 @@
 import traceback
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from minthitch import interface as api
@@ -88,11 +88,25 @@
         self._listed(self.config.known, api.ListKind.CACHED)
         self.have_list = bool(self.servers)
         if not self.settings.ask_for_list:
-            self.watching = self._spawn(self._keep_watching())
+            self._start_watch()
         host, port = self.config.listen
         self.listener = await self.loop.create_server(lambda: Caller(self), host, port, backlog=BACKLOG)
         self.listening = True
 
+    def reload(self, config: Config) -> None:
+        """Takes the new discovery; all else of a configuration belongs to the process."""
+        self.config = replace(self.config, discovery=config.discovery)
+        self.log(f"configuration read again: discovery is {config.discovery}")
+        self.client = discovery.Client(config.discovery)
+        self.seq = 0  # danger: another discovery counts for itself; the old list stays till the new one comes
+        if self.watching is not None:
+            self.watching.cancel()
+        self._start_watch()
+
+    def _start_watch(self) -> None:
+        self.watching = self._spawn(
+            self._watch_once() if self.settings.ask_for_list else self._keep_watching())
+
     @property
     def port(self) -> int:
         assert self.listener is not None
@@ -190,7 +204,7 @@
             self._arm(time.monotonic_ns() + action.delay, lambda: self.post(api.TimerFired(action.token)))
         elif isinstance(action, api.Subscribe):
             if self.watching is None or self.watching.done():
-                self.watching = self._spawn(self._watch_once())
+                self._start_watch()
         elif isinstance(action, api.Refresh):
             self._spawn(self._refresh())
         elif isinstance(action, api.HangUp):
@@ -365,8 +379,11 @@
             await asyncio.sleep(pause * self.random.uniform(0.5, 1.5))  # or all nodes would come at once
 
     async def _watch(self) -> None:
+        client = self.client
         try:
-            await self.client.watch(self.seq, self._heard)
+            if not self.seq:  # in full: what a watch tells first may leave out what is gone
+                self._heard(await client.fetch())
+            await client.watch(self.seq, self._heard)
         except discovery.DiscoveryError as err:
             self.log(f"watch: {err}")
 
--- a/minthitch/net/servers.py
+++ b/minthitch/net/servers.py
@@ -6,6 +6,8 @@
 from __future__ import annotations
 
 import asyncio
+import errno
+import select
 import time
 from collections.abc import Callable
 from typing import cast
@@ -15,7 +17,9 @@
 from minthitch import interface as api
 
 MOST_BODY = 64 * 1024
-MOST_HEAD = 32 * 1024  # bytes of header fields in an answer
+MOST_HEAD = 32 * 1024  # bytes in front of an answer's body, 1xx answers ahead of it included
+MOST_RAW = 256 * 1024  # bytes of a whole answer as it comes, chunk framing and trailers included
+OWN_LACK = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL))
 IDLE_PART = 0.5  # part of the servers' idle limit after which a kept connection is dropped
 NO_LIMIT_IDLE = 15 * api.SECOND  # where the settings state no idle limit
 
@@ -73,14 +77,18 @@
         self.attempt: Attempt | None = None
         self.transport: asyncio.Transport | None = None
         self.parser = httptools.HttpResponseParser(self)
-        self.written = self.complete = False
+        self.written = False
         self.used = 0.0  # loop time at which it became idle
         self._reset()
 
     def _reset(self) -> None:
-        self.status, self.head, self.size = 0, 0, 0
+        self.raw, self.size = 0, 0
+        self.headed = self.complete = self.surplus = False
+        self._begin()
+
+    def _begin(self) -> None:
         self.unprocessed = self.lasts = False
-        self.content_type = b""
+        self.status, self.content_type, self.body = 0, b"", b""
         self.parts: list[bytes] = []
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -104,13 +112,26 @@
             self.close()
             return
         try:
-            self.parser.feed_data(data)
-        except httptools.HttpParserError:
-            self._finish(api.Status.ERROR)  # an answer came, though not a fit one
-            return
+            self._feed(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            if not self.complete:
+                self._finish(api.Status.ERROR)  # an answer came, though not a fit one
+                return
+            self.surplus = True
         if self.complete:
             self._answered()
 
+    def _feed(self, data: bytes) -> None:
+        """Danger: a field, trailer or chunk extension without end grows inside the parser, unseen."""
+        while data and not self.complete:
+            room = (MOST_RAW if self.headed else MOST_HEAD) - self.raw
+            if room <= 0:
+                raise httptools.HttpParserError("an answer without end")
+            part, data = data[:room], data[room:]
+            self.raw += len(part)
+            self.parser.feed_data(part)
+        self.surplus = self.surplus or bool(data)
+
     def eof_received(self) -> None:
         return None  # closes the transport; connection_lost tells what it meant
 
@@ -120,41 +141,51 @@
 
     # What the parser calls ------------------------------------------------------------------
 
+    def on_message_begin(self) -> None:
+        # Danger: what comes behind a whole answer, a second copy for one, would join its body.
+        self.surplus = self.complete
+
     def on_header(self, name: bytes, value: bytes) -> None:
-        self._count_head(len(name) + len(value))
+        if self.headed or self.complete:
+            return
         name = name.lower()
+        if name == b"content-length" and int(value) > MOST_BODY:
+            raise ValueError("body too long")  # danger: waiting for it would fill the memory
         if name == b"x-unprocessed":
             self.unprocessed = value.strip() == b"1"
         elif name == b"content-type":
             self.content_type = value
 
-    def _count_head(self, size: int) -> None:
-        self.head += size
-        if self.head > MOST_HEAD:
-            raise ValueError("too many header bytes")
+    def on_headers_complete(self) -> None:
+        self.headed = self.headed or self.parser.get_status_code() >= 200
 
     def on_body(self, part: bytes) -> None:
+        if self.complete:
+            return
         self.size += len(part)
         if self.size > MOST_BODY:
             raise ValueError("body too long")
         self.parts.append(part)
 
     def on_message_complete(self) -> None:
+        """Freezes the first final answer; nothing behind it changes it."""
+        if self.complete:
+            return
         status = self.parser.get_status_code()
         if 100 <= status < 200 and status != 101:  # interim: the answer is still to come
-            self._reset()
+            self._begin()
             return
-        self.status, self.complete = status, True
+        self.status, self.complete, self.body = status, True, b"".join(self.parts)
         self.lasts = self.parser.should_keep_alive()  # only here does the parser still know
 
     # ------------------------------------------------------------------------------------------
 
     def _answered(self) -> None:
-        attempt, self.complete = self.attempt, False
+        attempt = self.attempt
         assert attempt is not None
-        attempt.body, attempt.content_type = b"".join(self.parts), self.content_type
+        attempt.body, attempt.content_type = self.body, self.content_type
         status = outcome(self.status, self.unprocessed)
-        keep = self.lasts and self.written
+        keep = self.lasts and self.written and not self.surplus
         self._reset()
         if keep:
             self.attempt, attempt.connection = None, None
@@ -177,6 +208,15 @@
     def usable(self) -> bool:
         return self.transport is not None and not self.transport.is_closing()
 
+    @property
+    def quiet(self) -> bool:
+        """Danger: unread bytes would pass for the next answer; an unread end makes its request a reset."""
+        if self.transport is None or self.transport.is_closing():
+            return False
+        poll = select.poll()
+        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
+        return not poll.poll(0)
+
 
 def outcome(status: int, unprocessed: bool) -> api.Status:
     """What an answer proves. Only the server's own word proves that a request never ran."""
@@ -206,7 +246,7 @@
         while server.idle:
             connection = server.idle.pop()
             self.idle.pop(connection, None)
-            if connection.usable and self.loop.time() - connection.used < self.idle_for:
+            if self.loop.time() - connection.used < self.idle_for and connection.quiet:
                 connection.send(attempt)
                 return
             connection.close()
@@ -216,9 +256,11 @@
         try:
             async with asyncio.timeout(self.connect_timeout):
                 connection = await self._open(attempt.server)
-        except (OSError, TimeoutError, ValueError):  # the last for an address that no socket takes
+        except (OSError, TimeoutError, ValueError) as err:  # the last for an address that no socket takes
             attempt.connecting = None
-            attempt.end(api.Status.CONNECT_FAILED)
+            # Danger: a lack of our own would pass for a sick server.
+            own = isinstance(err, OSError) and err.errno in OWN_LACK
+            attempt.end(api.Status.MOOT if own else api.Status.CONNECT_FAILED)
             return
         attempt.connecting = None
         if not connection.usable:
@@ -233,7 +275,7 @@
         if len(self.opened) + self.opening >= self.most and self.idle:
             next(iter(self.idle)).close()
         if len(self.opened) + self.opening >= self.most:
-            raise OSError("as many connections to servers are open as may be")
+            raise OSError(errno.EMFILE, "as many connections to servers are open as may be")
         self.opening += 1
         try:
             _, connection = await self.loop.create_connection(
--- a/tests/net.py
+++ b/tests/net.py
@@ -136,6 +136,10 @@
         try:
             head, _ = await read_message(reader)
             self.targets.append(head.split()[1].decode())
+            if "watch" not in self.targets[-1]:
+                whole = json.dumps({"seq": self.seq, "whole": True, "hosts": self.hosts}).encode()
+                writer.write(reply(200, whole))
+                return
             writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
             self.send(writer, {"seq": self.seq, "whole": True, "hosts": self.hosts})
             self.writers.append(writer)
--- /dev/null
+++ b/tests/test_rough.py
@@ -0,0 +1,233 @@
+"""Spoilt answers, bad clients, new configurations: what must not mix up, hang, leak or crash."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+from pathlib import Path
+
+import pytest
+
+from tests.net import (
+    OK, PATIENCE, Caller, Discovery, Seen, Server, address_of, call, entry, reply, rig, serve_ok)
+from tests.test_node import run
+from tests.test_service import connect, free_port, program
+
+NOISE = bytes(range(128, 178)) + b"\r\n\r\n"
+
+
+async def _behind(more: bytes) -> None:
+    async def script(seen: Seen) -> bytes:
+        return reply(200, b"mine" + seen.body) + more
+
+    async with rig(script) as r:
+        caller = await r.caller()
+        for body in (b"1", b"2", b"3"):
+            status, _, got = await caller.ask(call("unsafe", body))
+            assert (status, got) == (200, b"mine" + body)
+        assert len(r.sends) == 3
+        assert r.servers[0].connections == 3  # what has more to say than belongs to it is not used again
+
+
+@pytest.mark.parametrize("more", [
+    OK, reply(200, b"other"), NOISE, b"x" * 200_000, b"HTTP/1.1 200 OK\r\nX-Pad: p"])
+def test_a_good_answer_is_served_whatever_comes_right_behind(more: bytes) -> None:
+    run(_behind, more)
+
+
+async def _spoilt(answer: bytes) -> None:
+    async def script(seen: Seen) -> bytes | None:
+        if len(r.sends) == 1:
+            seen.writer.write(answer)  # and the connection stays open
+            return None
+        return OK
+
+    async with rig(script, script) as r:
+        status, _, _ = await r.ask(call("unsafe", left="6000m"))
+        assert status == 502 and len(r.sends) == 1  # at once, and not by the deadline's timer
+        assert not next(iter(r.node.servers.values())).idle
+        spoilt = next(server for server in r.servers if server.seen)
+        await spoilt.until(lambda: spoilt.closed == 1)
+
+
+async def _spoilt_in_time(answer: bytes) -> None:
+    async with asyncio.timeout(4.0):  # the deadline is at 6 s
+        await _spoilt(answer)
+
+
+@pytest.mark.parametrize("answer", [
+    NOISE,
+    b"ICY 200 OK\r\nContent-Length: 4\r\n\r\ndone",
+    b"HTTP/1.1 2x0 OK\r\nContent-Length: 4\r\n\r\ndone",
+    b"HTTP/1.1 OK 200\r\nContent-Length: 4\r\n\r\ndone",
+    b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\nContent-Length: 4\r\n\r\ndone",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\ndone",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nno colon here\r\nContent-Length: 4\r\n\r\ndone",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nx",
+    b"HTTP/1.1 200 OK\r\nX-Pad: " + b"p" * 40_000,  # one field without end
+    b"HTTP/1.1 200 OK\r\n" + b"X-Pad: p\r\n" * 5_000,
+    b"HTTP/1.1 103 Early Hints\r\n\r\n" * 2_000,
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;x=" + b"e" * 300_000,
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\nX-Pad: " + b"p" * 300_000,
+    b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n",
+])
+def test_a_spoilt_answer_is_a_failure_at_once(answer: bytes) -> None:
+    run(_spoilt_in_time, answer)
+
+
+async def _ahead() -> None:
+    async def script(seen: Seen) -> bytes:
+        return b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n" + OK
+
+    async with rig(script) as r:
+        caller = await r.caller()
+        for _ in range(3):
+            assert (await caller.ask(call("unsafe")))[::2] == (200, b"done")
+        assert r.servers[0].connections == 1
+
+
+def test_interim_answers_ahead_are_skipped() -> None:
+    run(_ahead)
+
+
+async def _unread_bytes() -> None:
+    async with rig(serve_ok) as r:
+        assert (await r.ask(call("unsafe")))[0] == 200
+        server = next(iter(r.node.servers.values()))
+        kept = server.idle[0]
+        assert kept.transport is not None
+        kept.transport.pause_reading()  # as when the loop has not come to it yet
+        seen = r.servers[0].seen[0]
+        seen.writer.write(reply(200, b"stale"))
+        await seen.writer.drain()
+        await r.until(lambda: not kept.quiet)
+        assert (await r.ask(call("unsafe")))[2] == b"done"
+        assert r.servers[0].connections == 2
+
+
+def test_a_kept_connection_with_unread_bytes_is_not_used_again() -> None:
+    run(_unread_bytes)
+
+
+async def _pool_full() -> None:
+    async def never(_seen: Seen) -> None:
+        return None
+
+    async with rig(never) as r:
+        first = asyncio.create_task(r.ask(call("unsafe", left="5000m")))
+        await r.servers[0].until(lambda: bool(r.sends))
+        r.node.pool.most = 1
+        status, _, _ = await r.ask(call("unsafe", left="600m"))
+        assert status == 503  # nothing of it has left the node
+        assert r.node.balancer.scarce == 0  # the lack is the node's own
+        assert next(iter(r.node.balancer.servers.values())).own.trials == 0
+        first.cancel()
+
+
+def test_a_full_pool_is_no_fault_of_the_server() -> None:
+    run(_pool_full)
+
+
+# New configurations ---------------------------------------------------------------------------
+
+
+async def _lookup(*hosts: dict[str, object], seq: int = 1) -> tuple[Discovery, asyncio.Server]:
+    found = Discovery()
+    found.hosts, found.seq = list(hosts), seq
+    return found, await asyncio.start_server(found, "127.0.0.1", 0)
+
+
+def _rewrite(path: Path, old: str, new: str) -> None:
+    other = path.with_suffix(".new")
+    other.write_text(path.read_text().replace(old, new))
+    os.replace(other, path)
+
+
+async def _answers(port: int, body: bytes) -> None:
+    """Waits until requests are answered with `body`; each is answered meanwhile."""
+    async with asyncio.timeout(PATIENCE):
+        while True:
+            status, _, got = await (await connect(port)).ask(call("unsafe"))
+            assert status == 200
+            if got == body:
+                return
+            await asyncio.sleep(0.02)
+
+
+async def _hup(path: Path) -> None:
+    async def other(_seen: Seen) -> bytes:
+        return reply(200, b"other")
+
+    one, two = Server(serve_ok), Server(other)
+    listeners = [await asyncio.start_server(server, "127.0.0.1", 0) for server in (one, two)]
+    dials = [address_of(listener) for listener in listeners]
+    first, lookup_1 = await _lookup(entry("s0", dials[0]), seq=900)
+    second, lookup_2 = await _lookup(entry("s1", dials[1]), seq=3)  # s0 is gone, and its numbers are lower
+    third, lookup_3 = await _lookup(entry("s0", dials[0]), seq=3)
+    nowhere = f"127.0.0.1:{free_port()}"
+    async with program(path, [entry("s0", dials[0])], address_of(lookup_1)) as (process, port):
+        await _answers(port, b"done")
+        text = path.read_text()
+        path.write_text("{ no JSON")
+        process.send_signal(signal.SIGHUP)
+        await asyncio.sleep(0.2)
+        await _answers(port, b"done")
+        path.write_text(text)
+        _rewrite(path, address_of(lookup_1), nowhere)  # the old list serves on while nothing answers
+        process.send_signal(signal.SIGHUP)
+        await asyncio.sleep(0.2)
+        await _answers(port, b"done")
+        _rewrite(path, nowhere, address_of(lookup_2))
+        process.send_signal(signal.SIGHUP)
+        await _answers(port, b"other")
+        _rewrite(path, address_of(lookup_2), address_of(lookup_3))
+        process.send_signal(signal.SIGHUP)
+        process.send_signal(signal.SIGHUP)
+        await _answers(port, b"done")
+        await third.watches(1)
+        third.change(entry("s1", dials[1]), entry("s0", dials[0], "draining"))
+        await _answers(port, b"other")
+        process.send_signal(signal.SIGTERM)
+        process.send_signal(signal.SIGHUP)
+        async with asyncio.timeout(PATIENCE):
+            assert await process.wait() == 0
+    for listener in (*listeners, lookup_1, lookup_2, lookup_3):
+        listener.close()
+
+
+def test_sighup_takes_the_new_discovery_in_full_and_serves_on(tmp_path: Path) -> None:
+    run(_hup, tmp_path / "config.json")
+
+
+async def _hup_under_load(path: Path) -> None:
+    async def slow(_seen: Seen) -> bytes:
+        await asyncio.sleep(0.05)
+        return OK
+
+    server = Server(slow)
+    listener = await asyncio.start_server(server, "127.0.0.1", 0)
+    hosts = [entry("s0", address_of(listener))]
+    lookups = [await _lookup(*hosts) for _ in range(3)]
+    places = [address_of(lookup) for _, lookup in lookups]
+
+    async def client(caller: Caller) -> None:
+        for _ in range(20):
+            assert (await caller.ask(call("unsafe")))[0] == 200
+
+    async with program(path, hosts, places[0]) as (process, port):
+        load = asyncio.gather(*[client(await connect(port)) for _ in range(3)])
+        for old, new in zip(places, places[1:], strict=False):
+            await asyncio.sleep(0.1)
+            _rewrite(path, old, new)
+            process.send_signal(signal.SIGHUP)
+        await load
+        await lookups[2][0].watches(1)
+        assert process.returncode is None
+    for waiting in (listener, *(lookup for _, lookup in lookups)):
+        waiting.close()
+
+
+def test_sighup_under_load_loses_nothing(tmp_path: Path) -> None:
+    run(_hup_under_load, tmp_path / "config.json")
