--- a/minthitch/net/servers.py
+++ b/minthitch/net/servers.py
@@ -24,7 +24,7 @@
 IDLE_PART = 0.5  # part of the servers' idle limit after which a kept connection is dropped
 STALE_WITHIN = 50 * api.MILLISECOND  # a kept connection that breaks so soon was dead when it was used
 WARY_FOR = 30.0  # seconds after such a break in which what may not be repeated goes out on young connections
-YOUNG = 0.05  # seconds idle up to which a kept connection is as good as new (3489581c: 1 dead in 70, later in 8)
+YOUNG = 0.05  # seconds idle up to which a kept connection is as good as new (3489581c: 1 in 70 dead)
 NO_LIMIT_IDLE = 15 * api.SECOND  # where the settings state no idle limit
 
 
