--- a/minthitch/net/node.py
+++ b/minthitch/net/node.py
@@ -24,6 +24,7 @@
 
 RESERVE = 48  # descriptors for the listener, the watch, files and callers to be turned away
 ACCEPT_ON = 0.6  # seconds after SIGTERM in which new connections may still come (0.4 stated)
+LAST_ANSWER = 3.4  # seconds after SIGTERM by which all is answered: SIGKILL comes after 3.7 or more
 PAUSE_LEAST, PAUSE_MOST = 0.25, 2.0  # seconds before a watch is opened again, before jitter
 LOG_LINES = 20  # lines in a second at most: bad input must not fill the log
 BACKLOG = 512
@@ -77,6 +78,7 @@
         self.addresses: dict[int, Server] = {}
         self.next_request = self.next_server = 1
         self.seq, self.have_list, self.listening, self.draining = 0, False, False, False
+        self.leaving = 0  # after SIGTERM: by when all is to be answered
         self.tasks: set[asyncio.Task[None]] = set()
         self.watching: asyncio.Task[None] | None = None
         self.listener: asyncio.Server | None = None
@@ -116,9 +118,16 @@
 
     def drain(self) -> None:
         """SIGTERM: what has come, and still comes for a while, is answered; then the node ends."""
-        if not self.draining:
+        if not self.leaving:
+            self.leaving = time.monotonic_ns() + int(LAST_ANSWER * api.SECOND)
             self.draining = True
             self.loop.call_later(ACCEPT_ON, self._stop_accepting)
+            self.loop.call_later(LAST_ANSWER, self._answer_all)
+
+    def _answer_all(self) -> None:
+        """Danger: SIGKILL would lose what is still open."""
+        for request in list(self.by_caller.values()):
+            self._out_of_time(request)
 
     def _stop_accepting(self) -> None:
         self.listening = False
@@ -235,7 +244,7 @@
         self._check_finished()
 
     def ready(self) -> bool:
-        return self.listening and self.have_list and not self.draining
+        return self.listening and self.have_list and not self.leaving
 
     def check(self, call: Call) -> None:
         """Turns away what no server could use, by its head."""
@@ -263,6 +272,8 @@
             raise BadRequest(503, "too many requests are open")
         # One that was pipelined has waited since its last byte came.
         deadline = (call.heard or now) + min(spec.deadline if left is None else left, spec.deadline)
+        if self.leaving:  # the decisions then end it in time, by a refusal where that is harmless
+            deadline = min(deadline, self.leaving)
         tenant = self.tenants.get(call.fields.get(b"x-account", b""), len(self.tenants))
         request = Request(self.next_request, caller, call, spec, deadline)
         self.next_request += 1
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -197,3 +197,23 @@
 
 def test_ready_waits_for_a_list() -> None:
     run(_ready_waits)
+
+
+async def _answers_all_before_sigkill() -> None:
+    async def never(_seen: Seen) -> None:
+        return None
+
+    async with rig(never) as r:
+        before, after = await r.caller(), await r.caller()
+        before.writer.write(call("unsafe"))
+        await r.until(lambda: len(r.sends) == 1)
+        async with asyncio.timeout(5.5):  # the requests' own deadline is at 6 s
+            r.node.drain()
+            after.writer.write(call("unsafe"))
+            for caller in (before, after):
+                assert (await caller.answer())[0] == 502
+            await r.node.finished.wait()
+
+
+def test_a_node_that_is_told_to_end_answers_all_before_it_is_killed() -> None:
+    run(_answers_all_before_sigkill)
