A watch of discovery that falls silent is opened again

Now 3.5 s without a line (one is due every 2 s) end it; it is opened again from the last version, with shorter pauses and head time-outs where lists are pushed.

--- a/minthitch/net/discovery.py
+++ b/minthitch/net/discovery.py
@@ -14,7 +14,9 @@
 
 MOST_LINE = 8 * 1024 * 1024
 STATES = ("up", "draining", "removed")
-CALL_TIMEOUT = 5.0  # a call for the list or the head of a watch takes no longer
+SILENCE = 3.5  # seconds after which a watch is dead: an empty line is due every 2 s
+CALL_TIMEOUT = 5.0  # a call for the list takes no longer
+HEAD_TIMEOUT = 2.0  # nor do a connection to discovery and the head of an answer where lists are pushed
 
 
 class DiscoveryError(Exception):
@@ -96,6 +98,7 @@
         self.on_line = on_line
         self.parser = httptools.HttpResponseParser(self)
         self.buffer = bytearray()
+        self.heard = asyncio.get_running_loop().time()
         self.headed: asyncio.Future[int] = asyncio.get_running_loop().create_future()
         self.ended: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
         self.transport: asyncio.Transport | None = None
@@ -105,6 +108,7 @@
         self.transport.write(self.request)
 
     def data_received(self, data: bytes) -> None:
+        self.heard = asyncio.get_running_loop().time()
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError as err:
@@ -146,15 +150,15 @@
 class Client:
     """Calls discovery at one address."""
 
-    def __init__(self, address: str) -> None:
-        self.authority = address
+    def __init__(self, address: str, head_timeout: float = HEAD_TIMEOUT) -> None:
+        self.authority, self.head_timeout = address, head_timeout
         self.host, self.port = parse_address(address)
 
     async def _open(self, target: str, on_line: Callable[[bytes], None] | None) -> Call:
         loop = asyncio.get_running_loop()
         call: Call | None = None
         try:
-            async with asyncio.timeout(CALL_TIMEOUT):
+            async with asyncio.timeout(self.head_timeout):
                 _, call = await loop.create_connection(
                     lambda: Call(target, self.authority, on_line), self.host, self.port)
                 status = await call.headed
@@ -179,9 +183,17 @@
             call._fail(DiscoveryError("done"))
 
     async def watch(self, after: int, on_listing: Callable[[Listing], None]) -> None:
-        """Gives each change to `on_listing` until the watch ends; its silence is no news, not an end."""
+        """Gives each change to `on_listing` until the watch ends.
+
+        Danger: a connection that has fallen silent tells of no drain, and nothing else ends it.
+        """
         call = await self._open(f"/v1/endpoints?watch=1&after={after}", lambda line: on_listing(decode(line)))
+        loop = asyncio.get_running_loop()
         try:
+            while not call.ended.done():
+                if (left := call.heard + SILENCE - loop.time()) <= 0:
+                    raise DiscoveryError("the watch fell silent")
+                await asyncio.wait([call.ended], timeout=left)
             await call.ended
         finally:
             call._fail(DiscoveryError("done"))
--- a/minthitch/net/node.py
+++ b/minthitch/net/node.py
@@ -25,7 +25,7 @@
 RESERVE = 48  # descriptors for the listener, the watch, files and callers to be turned away
 ACCEPT_ON = 0.6  # seconds after SIGTERM in which new connections may still come (0.4 stated)
 LAST_ANSWER = 3.4  # seconds after SIGTERM by which all is answered: SIGKILL comes after 3.7 or more
-PAUSE_LEAST, PAUSE_MOST = 0.25, 2.0  # seconds before a watch is opened again, before jitter
+PAUSE_LEAST, PAUSE_MOST = 0.1, 0.5  # seconds before a watch is opened again, before jitter
 LOG_LINES = 20  # lines in a second at most: bad input must not fill the log
 BACKLOG = 512
 
@@ -68,7 +68,7 @@
         half = max((config.sockets - RESERVE) // 2, 1)
         self.pool = Pool(config.settings, half)
         self.callers = Callers(self, half, half + RESERVE // 2)
-        self.client = discovery.Client(config.discovery)
+        self.client = self._client()
         self.events: deque[api.Event] = deque()
         self.pumping = False
         self.requests: dict[int, Request] = {}
@@ -101,12 +101,17 @@
         """Takes the new discovery; all else of a configuration belongs to the process."""
         self.config = replace(self.config, discovery=config.discovery)
         self.log(f"configuration read again: discovery is {config.discovery}")
-        self.client = discovery.Client(config.discovery)
+        self.client = self._client()
         self.seq = 0  # danger: another discovery counts for itself; the old list stays till the new one comes
         if self.watching is not None:
             self.watching.cancel()
         self._start_watch()
 
+    def _client(self) -> discovery.Client:
+        asked = self.settings.ask_for_list  # one service for all nodes then, with a queue
+        return discovery.Client(self.config.discovery,
+                                discovery.CALL_TIMEOUT if asked else discovery.HEAD_TIMEOUT)
+
     def _start_watch(self) -> None:
         self.watching = self._spawn(
             self._watch_once() if self.settings.ask_for_list else self._keep_watching())
--- a/tests/net.py
+++ b/tests/net.py
@@ -7,7 +7,7 @@
 import struct
 import socket
 from collections.abc import Awaitable, Callable
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 from typing import Any
@@ -131,6 +131,7 @@
         self.targets: list[str] = []
         self.writers: list[asyncio.StreamWriter] = []
         self.changed = asyncio.Event()
+        self.beats = True  # an empty line now and then while nothing changes
 
     async def __call__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
@@ -144,7 +145,11 @@
             self.send(writer, {"seq": self.seq, "whole": True, "hosts": self.hosts})
             self.writers.append(writer)
             self.changed.set()
-            await reader.read()
+            while not reader.at_eof():
+                if self.beats:
+                    self.send(writer, b"")
+                with suppress(TimeoutError):
+                    await asyncio.wait_for(reader.read(), 0.5)
         except (OSError, asyncio.IncompleteReadError):
             pass
         finally:
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -217,3 +217,16 @@
 
 def test_a_node_that_is_told_to_end_answers_all_before_it_is_killed() -> None:
     run(_answers_all_before_sigkill)
+
+
+async def _silent_watch() -> None:
+    async with rig(serve_ok, serve_ok) as r:
+        r.discovery.beats = False  # the watch that is open says nothing any more, nor does it end
+        r.discovery.hosts = [dict(r.discovery.hosts[0], health="draining"), r.discovery.hosts[1]]
+        r.discovery.seq += 1
+        await r.until(lambda: len(r.node.balancer.servers) == 1)
+        assert r.discovery.targets[-1] == "/v1/endpoints?watch=1&after=1"
+
+
+def test_a_watch_that_falls_silent_is_opened_again() -> None:
+    run(_silent_watch)
