--- a/minthitch/__main__.py
+++ b/minthitch/__main__.py
@@ -4,50 +4,14 @@
 
 import asyncio
 import gc
-import json
 import os
 import signal
 import sys
-from typing import Any
 
 import uvloop
 
-from minthitch import settings
-from minthitch.net import discovery
-from minthitch.net.node import Config, Node
-
-
-class ConfigError(Exception):
-    """A configuration that can't be used; the text is one plain line."""
-
-
-def _text(table: dict[str, Any], name: str) -> str:
-    value = table.get(name) or os.environ.get(f"BALANCER_{name.upper()}")
-    if not isinstance(value, str) or not value:
-        raise ConfigError(f"{name} is missing")
-    return value
-
-
-def read_config(path: str) -> Config:
-    try:
-        with open(path, encoding="utf-8") as file:
-            table = json.load(file)
-    except (OSError, ValueError, RecursionError) as err:
-        raise ConfigError(f"{path}: {err}") from None
-    if not isinstance(table, dict):
-        raise ConfigError(f"{path}: not an object")
-    limits = table.get("limits") or {}
-    sockets = limits.get("sockets", 1024) if isinstance(limits, dict) else None
-    if isinstance(sockets, bool) or not isinstance(sockets, int) or sockets < 64:
-        raise ConfigError("limits.sockets is not a whole number of 64 or more")
-    known = table.get("known") or {"seq": 0, "whole": True, "hosts": []}
-    try:
-        discovery.parse_address(_text(table, "discovery"))
-        return Config(_text(table, "name"), discovery.parse_address(_text(table, "listen")),
-                      _text(table, "discovery"), int(str(table.get("seed", "0")), 16), min(sockets, 1024),
-                      discovery.parse_listing(known), settings.from_object(table.get("settings")))
-    except (ValueError, discovery.DiscoveryError) as err:
-        raise ConfigError(str(err)) from None
+from minthitch.config import Config, ConfigError, read_config
+from minthitch.net.node import Node
 
 
 def reload(node: Node, path: str) -> None:
--- /dev/null
+++ b/minthitch/config.py
@@ -0,0 +1,99 @@
+"""The configuration of a node, from JSON as the platform gives it. One error line: key and value."""
+
+from __future__ import annotations
+
+import json
+import os
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from minthitch import interface as api
+from minthitch import settings
+from minthitch.listing import Listing, ListError, parse_address, parse_listing, static_listing
+
+NO_SERVERS = Listing(0, True, ())
+MOST_SOCKETS = 1024
+
+
+class ConfigError(Exception):
+    """A configuration that can't be used; the text is one plain line."""
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """What a node is told. `discovery` is "" where the list is `known` and stays so."""
+
+    name: str
+    listen: tuple[str, int]
+    discovery: str
+    seed: int
+    sockets: int
+    known: Listing
+    settings: api.Settings
+
+
+def _text(table: Mapping[str, Any], name: str, environ: Mapping[str, str]) -> str:
+    value = table.get(name) or environ.get(f"BALANCER_{name.upper()}")
+    if not isinstance(value, str) or not value:
+        raise ConfigError(f"{name} is missing")
+    return value
+
+
+def load_object(path: str | os.PathLike[str]) -> dict[str, Any]:
+    """A file's JSON object. Raises ConfigError."""
+    try:
+        with open(path, encoding="utf-8") as file:
+            table = json.load(file)
+    except (OSError, ValueError, RecursionError) as err:
+        raise ConfigError(f"{path}: {err}") from None
+    if not isinstance(table, dict):
+        raise ConfigError(f"{path}: not an object")
+    return table
+
+
+def known_servers(table: Mapping[str, Any]) -> Listing:
+    """The list in a configuration: `servers` (addresses, for good) or `known` (a list that may be old)."""
+    addresses = table.get("servers")
+    if addresses is None:
+        return parse_listing(table["known"]) if table.get("known") else NO_SERVERS
+    if not isinstance(addresses, list):
+        raise ConfigError(f"servers {addresses!r} is not a list of addresses")
+    try:
+        return static_listing(addresses)
+    except ListError as err:
+        raise ConfigError(f"servers: {err}") from None
+
+
+def most_sockets(table: Mapping[str, Any]) -> int:
+    limits = table.get("limits") or {}
+    sockets = limits.get("sockets", MOST_SOCKETS) if isinstance(limits, dict) else None
+    if isinstance(sockets, bool) or not isinstance(sockets, int) or sockets < 64:
+        raise ConfigError(f"limits.sockets is not a whole number of 64 or more: {sockets!r}")
+    return min(sockets, MOST_SOCKETS)
+
+
+def seed_of(table: Mapping[str, Any]) -> int:
+    try:
+        return int(str(table.get("seed", "0")), 16)
+    except ValueError:
+        raise ConfigError(f"seed {table.get('seed')!r} is not hexadecimal") from None
+
+
+def from_table(table: Mapping[str, Any], environ: Mapping[str, str]) -> Config:
+    """A node's configuration from its decoded JSON. Raises ConfigError."""
+    sockets = most_sockets(table)
+    try:
+        discovery = "" if "servers" in table else _text(table, "discovery", environ)
+        if discovery:
+            parse_address(discovery)
+        return Config(_text(table, "name", environ), parse_address(_text(table, "listen", environ)),
+                      discovery, seed_of(table), sockets, known_servers(table),
+                      settings.from_object(table.get("settings")))
+    except (ValueError, ListError) as err:
+        raise ConfigError(str(err)) from None
+
+
+def read_config(path: str | os.PathLike[str]) -> Config:
+    """A node's configuration from its file. Raises ConfigError."""
+    return from_table(load_object(path), os.environ)
--- /dev/null
+++ b/minthitch/engine/attempts.py
@@ -0,0 +1,55 @@
+"""One send of a request to one server: it ends once, with an exact outcome."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from minthitch import interface as api
+from minthitch.engine.calls import Message, Served
+from minthitch.engine.clock import Timer
+from minthitch.engine.fleet import Server
+from minthitch.engine.ports import Carried
+
+if TYPE_CHECKING:
+    from minthitch.engine.core import Engine, Request
+
+
+class Attempt:
+    """What a carrier is given: it sets `carried`, asks `may_write` before it writes, calls `end` once."""
+
+    __slots__ = ("engine", "request", "index", "server", "once", "started", "status", "answer", "carried",
+                 "timer")
+
+    def __init__(self, engine: Engine, request: Request, index: int, server: Server) -> None:
+        self.engine, self.request, self.index, self.server = engine, request, index, server
+        self.once = request.spec.effect is api.Effect.UNSAFE  # may not go out again once it may have run
+        self.started = engine.clock.now()
+        self.status: api.Status | None = None
+        self.answer: Served | None = None
+        self.carried: Carried | None = None
+        self.timer: Timer | None = None
+
+    @property
+    def message(self) -> Message:
+        return self.request.call.message
+
+    @property
+    def left(self) -> int:
+        """Nanoseconds until the request's deadline, 0 at least."""
+        return max(self.request.deadline - self.engine.clock.now(), 0)
+
+    def may_write(self) -> bool:
+        """Whether bytes of the request may still go to the server, now."""
+        return self.engine.may_write(self.request, self.server)
+
+    def end(self, status: api.Status, answer: Served | None = None) -> None:
+        """Ends the attempt, once; what its carrier still holds of it is dropped."""
+        if self.status is not None:
+            return
+        self.status, self.answer = status, answer
+        if self.timer is not None:
+            self.timer.cancel()
+        carried, self.carried = self.carried, None
+        if carried is not None:
+            carried.drop()  # danger: an answer to a given-up attempt must not meet the next request
+        self.engine.ended(self)
--- /dev/null
+++ b/minthitch/engine/calls.py
@@ -0,0 +1,79 @@
+"""What is asked and what is answered, as values that belong to no transport."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from minthitch.interface import SECOND
+
+Fields = tuple[tuple[bytes, bytes], ...]  # names in lower case or as they came, values
+
+
+class Rejected(Exception):
+    """A call that is not taken: `status` in HTTP's terms, and what the log says. Nothing of it was sent."""
+
+    def __init__(self, status: int, text: str, retry_after: int = 0) -> None:
+        super().__init__(text)
+        self.status = status
+        self.retry_after = retry_after  # ns after which asking again makes sense; 0 = not stated
+
+
+class Message:
+    """A request as it goes on to a server, without the time that is left."""
+
+    __slots__ = ("method", "target", "fields", "body")
+
+    def __init__(self, method: bytes, target: bytes, fields: Iterable[tuple[bytes, bytes]] = (),
+                 body: bytes = b"") -> None:
+        self.method, self.target, self.body = method, target, body
+        self.fields: Fields = tuple(fields)
+
+
+class Call:
+    """A call to the engine: who it is, what the decisions need to know of it, and its message."""
+
+    __slots__ = ("identity", "cls", "message", "left", "heard", "tenant", "key", "cost", "repeat")
+
+    def __init__(self, identity: bytes, cls: int, message: Message, *, left: int | None = None,
+                 heard: int = 0, tenant: int = 0, key: int = 0, cost: int = 0,
+                 repeat: bool = False) -> None:
+        self.identity, self.cls, self.message = identity, cls, message
+        self.left = left  # ns that the asker waits, counted from `heard`; None = the class's deadline
+        self.heard = heard  # when its last byte came, on the monotonic clock; 0 = now
+        self.tenant, self.key, self.cost, self.repeat = tenant, key, cost, repeat
+
+
+@dataclass(frozen=True, slots=True)
+class Served:
+    """A server's good answer, unchanged."""
+
+    body: bytes = b""
+    fields: Fields = ()
+
+    @property
+    def content_type(self) -> bytes:
+        return next((value for name, value in self.fields if name == b"content-type"), b"")
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """Not done, and trying again is harmless."""
+
+    retry_after_ns: int = 0
+    reason: str = ""
+
+    @property
+    def retry_after(self) -> float:
+        """Seconds after which asking again makes sense; 0.0 = not stated."""
+        return self.retry_after_ns / SECOND
+
+
+@dataclass(frozen=True, slots=True)
+class Failed:
+    """Nothing is promised about the effect: it may have run."""
+
+    reason: str = ""
+
+
+Answer = Served | Refused | Failed
--- /dev/null
+++ b/minthitch/engine/core.py
@@ -0,0 +1,268 @@
+"""The host of one Balancer: numbers, timers, the table of attempts, and carrying out its actions.
+
+Decides nothing. Events wait in one queue, so that the Balancer is never entered while it is at work.
+"""
+
+from __future__ import annotations
+
+import random
+import traceback
+from collections import deque
+from collections.abc import Callable
+
+from minthitch import interface as api
+from minthitch.engine.attempts import Attempt
+from minthitch.engine.calls import Answer, Call, Failed, Refused, Rejected, Served
+from minthitch.engine.clock import Clock, Timer
+from minthitch.engine.fleet import Fleet, Server
+from minthitch.engine.ports import Asker, Carrier, Source
+from minthitch.listing import Listing
+from minthitch.policy import Balancer
+
+FULL_BACK = 0.04, 0.12  # one over the limit of open requests comes back after this part of its aim
+
+
+class Request:
+    """A request that was taken, until it is answered and its last attempt has ended."""
+
+    __slots__ = ("number", "asker", "call", "spec", "deadline", "attempts", "out", "over", "timer")
+
+    def __init__(self, number: int, asker: Asker, call: Call, spec: api.RequestClass,
+                 deadline: int) -> None:
+        self.number, self.asker, self.call, self.spec, self.deadline = number, asker, call, spec, deadline
+        self.attempts: list[Attempt | None] = []  # None: one that never left
+        self.out = 0
+        self.over = False  # answered, or its asker has gone
+        self.timer: Timer | None = None
+
+
+class Engine:
+    """One Balancer and all it needs of the world, by ports. Not thread-safe: it lives on one loop."""
+
+    def __init__(self, settings: api.Settings, seed: int, clock: Clock, log: Callable[[str], None],
+                 on_idle: Callable[[], None] = lambda: None) -> None:
+        self.settings, self.clock, self.log, self.on_idle = settings, clock, log, on_idle
+        self.balancer = Balancer(settings, seed)
+        self.random = random.Random(seed ^ 2)  # for pauses; the Balancer has its own
+        self.fleet = Fleet(settings)
+        self.carrier: Carrier | None = None
+        self.source: Source | None = None
+        self.events: deque[api.Event] = deque()
+        self.pumping = False
+        self.requests: dict[int, Request] = {}
+        self.open: dict[int, Request] = {}  # those that are not answered yet
+        self.ids: set[bytes] = set()  # the ids of the requests that are open
+        self.next_request = 1
+        self.have_list = False
+        self.leaving = 0  # while it drains: by when all is to be answered
+
+    # Events and actions -------------------------------------------------------------------------
+
+    def post(self, event: api.Event) -> None:
+        self.events.append(event)
+        if self.pumping:  # danger: the Balancer is at work and keeps its actions in one list
+            return
+        self.pumping = True
+        try:
+            while self.events:
+                self._handle(self.events.popleft())
+        finally:
+            self.pumping = False
+
+    def _handle(self, event: api.Event) -> None:
+        try:
+            actions = self.balancer.handle(self.clock.now(), event)
+        except Exception as err:  # danger: one bad decision must not leave its asker unanswered
+            self.log_error(f"the decisions failed on {type(event).__name__}", err)
+            number = getattr(event, "request", None)
+            if number is not None and (request := self.requests.get(number)):
+                self._give_up(request, "no decision")
+            return
+        for action in actions:
+            try:
+                self._act(action)
+            except Exception as err:
+                self.log_error(f"{type(action).__name__} failed", err)
+
+    def _act(self, action: api.Action) -> None:
+        if isinstance(action, api.Send):
+            self._send(action)
+        elif isinstance(action, api.Cancel):
+            self._cancel(action)
+        elif isinstance(action, (api.Refuse, api.Fail)):
+            self._settle(action)
+        elif isinstance(action, api.SetTimer):
+            self.clock.at(self.clock.now() + action.delay, lambda: self.post(api.TimerFired(action.token)))
+        elif isinstance(action, api.Subscribe):
+            if self.source is not None:
+                self.source.subscribe()
+        elif isinstance(action, api.Refresh):
+            if self.source is not None:
+                self.source.refresh()
+        elif isinstance(action, api.HangUp):
+            if self.carrier is not None and (server := self.fleet.addresses.get(action.server)):
+                self.carrier.hang_up(server)
+        elif isinstance(action, api.Log):
+            self.log(action.text)
+        else:
+            self.log(f"not carried out: {type(action).__name__}")
+
+    def log_error(self, what: str, err: BaseException) -> None:
+        self.log(f"{what}: {''.join(traceback.format_exception(err)).strip()}")
+
+    # Requests -----------------------------------------------------------------------------------
+
+    def admit(self, asker: Asker, call: Call, *, full: bool = False) -> Request:
+        """Takes a call; its asker hears one answer by its deadline. Raises Rejected where it is not taken."""
+        now, spec = self.clock.now(), self.settings.classes[call.cls]
+        if call.identity in self.ids:  # danger: servers would take the two for one
+            raise Rejected(409, "the id of an open request")
+        if full or 0 < self.settings.max_open <= len(self.open):
+            raise Rejected(503, "too many requests are open", self._pause(spec))
+        # One that was pipelined has waited since its last byte came.
+        deadline = (call.heard or now) + min(spec.deadline if call.left is None else call.left, spec.deadline)
+        if self.leaving:  # the decisions then end it in time, by a refusal where that is harmless
+            deadline = min(deadline, self.leaving)
+        request = Request(self.next_request, asker, call, spec, deadline)
+        self.next_request += 1
+        self.requests[request.number] = self.open[request.number] = request
+        self.ids.add(call.identity)
+        request.timer = self.clock.at(deadline, lambda: self._out_of_time(request))
+        self.post(api.RequestArrived(request.number, call.cls, deadline, call.tenant, call.key, call.cost,
+                                     call.repeat))
+        return request
+
+    def _pause(self, spec: api.RequestClass) -> int:
+        """When one that is turned away for room may ask again, in ns; spread, or all would come together."""
+        if not self.settings.retry_after:
+            return 0
+        return min(int(self.random.uniform(*FULL_BACK) * spec.aim), self.settings.max_retry_after)
+
+    def leave(self, request: Request) -> None:
+        """The asker has gone: it hears nothing more, and nothing more is sent."""
+        if not request.over:
+            self._over(request)
+            self.post(api.RequestGone(request.number))
+
+    def _out_of_time(self, request: Request) -> None:
+        for attempt in request.attempts:
+            if attempt is not None:
+                attempt.end(api.Status.TIMEOUT)
+        if not request.over:  # danger: a request that the Balancer still holds would never be answered
+            self._give_up(request, "out of time")
+        self._forget(request)
+
+    def _give_up(self, request: Request, reason: str) -> None:
+        """A failure, where no decision came: it promises nothing."""
+        self._answer(request, Failed(reason))
+        for attempt in request.attempts:
+            if attempt is not None:
+                attempt.end(api.Status.CANCELLED)
+        self.post(api.RequestGone(request.number))
+
+    def _settle(self, action: api.Refuse | api.Fail) -> None:
+        request = self.requests.get(action.request)
+        if request is None or request.over:
+            return
+        if isinstance(action, api.Fail):
+            self._answer(request, Failed("no good answer, and it may have run"))
+            return
+        pause = min(action.retry_after, self.settings.max_retry_after) if self.settings.retry_after else 0
+        self._answer(request, Refused(pause, "not done"))
+
+    def _answer(self, request: Request, answer: Answer) -> None:
+        if request.over:  # danger: a second answer would pass for the next request's
+            return
+        self._over(request)
+        try:
+            request.asker.answer(request.call, answer)
+        except Exception as err:  # danger: a front's fault must not stop the others' answers
+            self.log_error("an answer was not taken", err)
+
+    def _over(self, request: Request) -> None:
+        request.over = True
+        if self.open.pop(request.number, None) is not None:
+            self.ids.discard(request.call.identity)
+        self._forget(request)
+
+    def _forget(self, request: Request) -> None:
+        if request.over and not request.out and request.timer is not None:
+            self.requests.pop(request.number, None)
+            request.timer.cancel()
+        if self.leaving and not self.open:
+            self.on_idle()
+
+    # Attempts -----------------------------------------------------------------------------------
+
+    def _send(self, action: api.Send) -> None:
+        request, server = self.requests.get(action.request), self.fleet.addresses.get(action.server)
+        if request is None:
+            self.log(f"a send for request {action.request}, which is over")
+            return
+        index = len(request.attempts)
+        barred = index >= self.settings.max_attempts or self.carrier is None
+        if server is None or barred or not self.may_write(request, server):
+            request.attempts.append(None)
+            self.post(api.AttemptEnded(request.number, index, action.server, api.Status.MOOT, 0,
+                                       request.over))
+            return
+        attempt = Attempt(self, request, index, server)
+        request.attempts.append(attempt)
+        request.out += 1
+        if action.timeout > 0:
+            attempt.timer = self.clock.at(attempt.started + action.timeout,
+                                          lambda: attempt.end(api.Status.TIMEOUT))
+        assert self.carrier is not None
+        self.carrier.start(attempt)
+
+    def may_write(self, request: Request, server: Server) -> bool:
+        """Whether bytes of the request may still go to the server, now."""
+        now = self.clock.now()
+        drained = server.told and now >= server.told + self.settings.drain_grace
+        return not request.over and now < request.deadline and not drained
+
+    def ended(self, attempt: Attempt) -> None:
+        """What `Attempt.end` tells."""
+        assert attempt.status is not None
+        request = attempt.request
+        request.out -= 1
+        if attempt.status is api.Status.OK and not request.over:
+            self._answer(request, attempt.answer or Served())
+        event = api.AttemptEnded(request.number, attempt.index, attempt.server.number, attempt.status,
+                                 self.clock.now() - attempt.started, request.over)
+        self._forget(request)
+        self.post(event)
+
+    def _cancel(self, action: api.Cancel) -> None:
+        request = self.requests.get(action.request)
+        if request is not None and action.attempt < len(request.attempts):
+            attempt = request.attempts[action.attempt]
+            if attempt is not None:
+                attempt.end(api.Status.CANCELLED)
+
+    # Lists and the end --------------------------------------------------------------------------
+
+    def listed(self, listing: Listing, kind: api.ListKind) -> None:
+        """A list has come: the whole one, its changes, or the one last held (CACHED)."""
+        entries, hang_up = self.fleet.apply(listing, kind, self.clock.now(), self.clock.wall())
+        if self.carrier is not None:
+            for server in hang_up:
+                self.carrier.hang_up(server)
+        self.have_list = self.have_list or kind is not api.ListKind.CACHED or bool(self.fleet.servers)
+        self.post(api.ListUpdate(kind, entries))
+
+    def list_failed(self) -> None:
+        self.post(api.ListUpdate(api.ListKind.FAILED))
+
+    def drain(self, within: int) -> None:
+        """All that is open or still comes is answered within so many ns; then `on_idle` is called."""
+        if not self.leaving:
+            self.leaving = self.clock.now() + within
+            self.clock.at(self.leaving, self.answer_all)
+            if not self.open:
+                self.on_idle()
+
+    def answer_all(self) -> None:
+        """Danger: the end of the process would lose what is still open."""
+        for request in list(self.open.values()):
+            self._out_of_time(request)
--- /dev/null
+++ b/minthitch/engine/fleet.py
@@ -0,0 +1,105 @@
+"""The servers of a tier as lists name them, as the decisions see them. No I/O; times are given in."""
+
+from __future__ import annotations
+
+from minthitch import interface as api
+from minthitch.listing import Host, Listing
+
+MOST_NAMES = 1_000  # zones, and kinds, told apart; all further ones count as one
+
+
+class Server:
+    """A server at one address since one start; a new start or address makes a new one."""
+
+    __slots__ = ("name", "number", "host", "port", "born_ms", "entry", "told", "retired")
+
+    def __init__(self, name: str, number: int, host: str, port: int, born_ms: int,
+                 entry: api.ServerEntry) -> None:
+        self.name, self.number, self.host, self.port = name, number, host, port
+        self.born_ms, self.entry = born_ms, entry
+        self.told = 0  # when the node was told that it drains or is gone; 0 = it does not
+        self.retired = False  # started anew, or listed at another address
+
+    @property
+    def usable(self) -> bool:
+        """Whether connections to it are worth keeping."""
+        return not self.told and not self.retired
+
+
+class Fleet:
+    """The servers by name and by the number that the decisions use."""
+
+    def __init__(self, settings: api.Settings) -> None:
+        self.zones = {name: i for i, name in enumerate(settings.zones)}
+        self.kinds = {name: i for i, name in enumerate(settings.kinds)}
+        self.servers: dict[str, Server] = {}
+        self.addresses: dict[int, Server] = {}
+        self.next_server = 1
+        self.seq = 0
+        self._now = self._wall = 0
+        self._hang_up: list[Server] = []
+
+    def apply(self, listing: Listing, kind: api.ListKind, now: int,
+              wall: int) -> tuple[tuple[api.ServerEntry, ...], list[Server]]:
+        """Takes a list in at `now` (monotonic ns) and `wall` (Unix ns).
+
+        Gives the entries for the decisions, and the servers whose kept connections are to be closed.
+        """
+        self._now, self._wall, self._hang_up = now, wall, []
+        entries = tuple(entry for host in listing.hosts if (entry := self._entry(host)))
+        if kind is not api.ListKind.CHANGES:
+            named = {host.name for host in listing.hosts}
+            for name in [name for name in self.servers if name not in named]:
+                self._gone(name)
+        self.seq = listing.seq
+        return entries, self._hang_up
+
+    @staticmethod
+    def _number(table: dict[str, int], name: str) -> int:
+        if name not in table and len(table) >= MOST_NAMES:  # danger: odd lists would fill the memory
+            return MOST_NAMES
+        return table.setdefault(name, len(table))
+
+    def _entry(self, host: Host) -> api.ServerEntry | None:
+        if host.state == "removed":
+            server = self._gone(host.name)
+            return api.ServerEntry(server.number, api.State.GONE) if server else None
+        known = self.servers.get(host.name)
+        number, started = self._identity(known, host)
+        entry = api.ServerEntry(
+            number, api.State.DRAINING if host.state == "draining" else api.State.READY,
+            self._number(self.zones, host.zone), host.cell, self._number(self.kinds, host.kind),
+            started, host.weight)
+        now_at = (host.address, host.port, host.born_ms)
+        if known is None or (known.host, known.port, known.born_ms) != now_at:
+            if known is not None:  # danger: kept connections lead to a process that is no more
+                known.retired = True
+                self._hang_up.append(known)
+            known = Server(host.name, number, host.address, host.port, host.born_ms, entry)
+            self.servers[host.name] = self.addresses[number] = known
+        known.entry = entry
+        if host.state == "draining":
+            self._tell(known)
+        else:
+            known.told = 0
+        return entry
+
+    def _identity(self, known: Server | None, host: Host) -> tuple[int, int]:
+        """Number and start on the module's clock, the same as long as the start is the same."""
+        number = self.next_server if known is None else known.number
+        self.next_server += known is None
+        if not host.born_ms or (known is not None and known.born_ms == host.born_ms):
+            return number, known.entry.started if known is not None and host.born_ms else 0
+        started = self._now - (self._wall - host.born_ms * api.MILLISECOND)
+        return number, started or 1  # 0 would mean long ago
+
+    def _tell(self, server: Server) -> None:
+        server.told = server.told or self._now
+        self._hang_up.append(server)
+
+    def _gone(self, name: str) -> Server | None:
+        server = self.servers.pop(name, None)
+        if server is not None:
+            self._tell(server)
+            self.addresses.pop(server.number, None)
+        return server
--- /dev/null
+++ b/minthitch/engine/ports.py
@@ -0,0 +1,60 @@
+"""What the engine knows of the world: an asker, a carrier of attempts, a source of lists."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Protocol
+
+from minthitch.interface import ListKind
+from minthitch.listing import Listing
+
+if TYPE_CHECKING:
+    from minthitch.engine.attempts import Attempt
+    from minthitch.engine.calls import Answer, Call
+    from minthitch.engine.fleet import Server
+
+
+class Asker(Protocol):
+    """Who asked: hears one answer to each call, perhaps before `Engine.admit` has returned."""
+
+    def answer(self, call: Call, answer: Answer) -> None: ...
+
+
+class Carried(Protocol):
+    """An attempt as its carrier holds it: dropped when the engine gives it up."""
+
+    def drop(self) -> None: ...
+
+
+class Carrier(Protocol):
+    """Takes attempts to servers; each is written once or not at all, and ended by `Attempt.end`.
+
+    `start` never ends its attempt before it has returned.
+    """
+
+    def start(self, attempt: Attempt) -> None: ...
+    def hang_up(self, server: Server) -> None: ...
+    def close(self) -> None: ...
+
+
+class Source(Protocol):
+    """Where lists come from, besides what it gives unasked."""
+
+    def subscribe(self) -> None: ...
+    def refresh(self) -> None: ...
+    async def close(self) -> None: ...
+
+
+class StaticSource:
+    """A list that does not change: whoever asks gets it again."""
+
+    def __init__(self, listing: Listing, listed: Callable[[Listing, ListKind], None]) -> None:
+        self.listing, self.listed = listing, listed
+
+    def subscribe(self) -> None:
+        self.listed(self.listing, ListKind.FULL)
+
+    refresh = subscribe
+
+    async def close(self) -> None:
+        return None
--- /dev/null
+++ b/minthitch/log.py
@@ -0,0 +1,26 @@
+"""Log lines, bounded in a second: bad input must not fill the log."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+LOG_LINES = 20  # lines in a second at most
+
+
+class LineLog:
+    """Gives at most LOG_LINES a second to `write`, and the number of those left out."""
+
+    def __init__(self, write: Callable[[str], None]) -> None:
+        self.write = write
+        self.second, self.lines = 0, 0
+
+    def __call__(self, text: str) -> None:
+        second = int(time.monotonic())
+        if second != self.second:
+            if self.lines > LOG_LINES:
+                self.write(f"{self.lines - LOG_LINES} lines left out")
+            self.second, self.lines = second, 0
+        self.lines += 1
+        if self.lines <= LOG_LINES:
+            self.write(text)
--- a/minthitch/net/callers.py
+++ b/minthitch/net/callers.py
@@ -3,17 +3,17 @@
 from __future__ import annotations
 
 import asyncio
-import re
 import time
 from collections import deque
-from hashlib import blake2b
 from typing import Protocol, cast
 
 import httptools
 
 from minthitch import interface as api
+from minthitch.engine.calls import Answer, Call, Refused, Rejected, Served
+from minthitch.engine.core import Request
+from minthitch.engine.fields import MOST_BODY, NOT_FORWARDED
 
-MOST_BODY = 64 * 1024
 MOST_HEAD = 32 * 1024  # bytes of a request in front of its body
 MOST_RAW = 256 * 1024  # bytes of a whole request as it comes, chunk framing and trailers included
 MOST_WAITING = 16  # pipelined requests of one caller that are read ahead of the one in work
@@ -22,56 +22,22 @@
 SILENT = 2.0  # seconds after which a connection that has asked nothing is closed
 HALF = 2.5  # seconds for a whole request, from the connection or from its first byte: 3 are owed
 UNREAD = 5.0  # seconds without progress after which a caller that does not take its answers is cut off
-NOT_FORWARDED = frozenset((  # they belong to one connection, or are written anew
-    b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade",
-    b"content-length", b"expect", b"x-time-left"))
 REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
            408: "Request Timeout", 409: "Conflict", 413: "Content Too Large",
            431: "Request Header Fields Too Large", 502: "Bad Gateway", 503: "Service Unavailable"}
-TIME_LEFT = re.compile(rb"(\d{1,12}(?:\.\d{1,9})?)([mu])")
-DECIMAL = re.compile(rb"\d{1,12}(?:\.\d{1,9})?")
 
 
-class BadRequest(Exception):
-    """A request that can't be taken: the answer's status, and what the log says."""
-
-    def __init__(self, status: int, text: str) -> None:
-        super().__init__(text)
-        self.status = status
-
-
-class Call:
+class Incoming:
     """One whole request as it came."""
 
-    __slots__ = ("method", "target", "fields", "head", "body", "keep", "heard")
+    __slots__ = ("method", "target", "fields", "head", "body", "keep", "heard", "call")
 
     def __init__(self) -> None:
         self.method, self.target, self.body, self.keep = b"", b"", b"", True
         self.heard = 0  # when its last byte came, on the monotonic clock
         self.fields: dict[bytes, bytes] = {}
-        self.head: list[bytes] = []  # header lines that go on to the server
-
-    def time_left(self) -> int | None:
-        """X-Time-Left in nanoseconds; None where there is none."""
-        value = self.fields.get(b"x-time-left")
-        if value is None:
-            return None
-        if not (match := TIME_LEFT.fullmatch(value)):
-            raise BadRequest(400, "bad X-Time-Left")
-        return int(float(match[1]) * (1_000_000 if match[2] == b"m" else 1_000))
-
-    def key(self) -> int:
-        """X-Session-Key is any text; equal texts give equal numbers, and 0 stands for none."""
-        value = self.fields.get(b"x-session-key")
-        return int.from_bytes(blake2b(value, digest_size=8).digest()) or 1 if value else 0
-
-    def cost(self) -> int:
-        value = self.fields.get(b"x-weight-hint")
-        if value is None:
-            return 0
-        if not DECIMAL.fullmatch(value):
-            raise BadRequest(400, "bad X-Weight-Hint")
-        return int(float(value) * 1_000)
+        self.head: list[tuple[bytes, bytes]] = []  # fields that go on to the server
+        self.call: Call | None = None  # as the engine was given it
 
 
 class Host(Protocol):
@@ -79,8 +45,8 @@
 
     draining: bool
 
-    def check(self, call: Call) -> None: ...
-    def take(self, caller: Caller, call: Call) -> None: ...
+    def check(self, item: Incoming) -> None: ...
+    def take(self, caller: Caller, item: Incoming) -> None: ...
     def left(self, caller: Caller) -> None: ...
     def ready(self) -> bool: ...
     def log(self, text: str) -> None: ...
@@ -94,13 +60,14 @@
         self.loop = asyncio.get_running_loop()
         self.transport: asyncio.Transport | None = None
         self.parser = httptools.HttpRequestParser(self)
-        self.call = Call()
+        self.coming = Incoming()
         self.raw = self.size = 0  # bytes of the request that is being read; those of its body
         self.parts: list[bytes] = []
-        self.waiting: deque[Call | BadRequest] = deque()
+        self.waiting: deque[Incoming | Rejected] = deque()
         self.unread = b""  # came, and is not parsed yet
         self.heard = self.owed = 0
-        self.current: Call | None = None
+        self.current: Incoming | None = None
+        self.request: Request | None = None  # the engine's, of the one in work
         self.asked = 0  # requests answered
         self.since = self.loop.time()  # when it connected, began its request, became idle or was closed
         self.reading = self.headed = self.broken = self.clogged = self.closing = False
@@ -138,16 +105,16 @@
             self.raw += len(part)
             try:
                 if room <= 0:
-                    raise BadRequest(413 if self.headed else 431, "a request without end")
+                    raise Rejected(413 if self.headed else 431, "a request without end")
                 self.parser.feed_data(part)
-            except BadRequest as err:
+            except Rejected as err:
                 self._break(err)
             except (httptools.HttpParserError, httptools.HttpParserUpgrade) as err:
                 cause = err.__context__
-                self._break(cause if isinstance(cause, BadRequest)
-                            else BadRequest(400, f"malformed HTTP ({type(err).__name__})"))
+                self._break(cause if isinstance(cause, Rejected)
+                            else Rejected(400, f"malformed HTTP ({type(err).__name__})"))
 
-    def _break(self, err: BadRequest) -> None:
+    def _break(self, err: Rejected) -> None:
         """Nothing that comes behind a request that can't be taken is read."""
         self.broken, self.reading, self.unread = True, False, b""
         self.waiting.append(err)
@@ -155,60 +122,60 @@
     # What the parser calls ------------------------------------------------------------------
 
     def on_message_begin(self) -> None:
-        self.call, self.raw, self.size, self.parts = Call(), 0, 0, []
+        self.coming, self.raw, self.size, self.parts = Incoming(), 0, 0, []
         self.headed = False
         self.reading = True
         if self.asked or self.current is not None:
             self.since = self.loop.time()  # the first request's time counts from the connection
 
     def on_url(self, part: bytes) -> None:
-        self.call.target += part
+        self.coming.target += part
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if self.headed:  # danger: a trailer would change a request that has been checked
             return
         lower = name.lower()
         if lower == b"content-length" and (not value.isdigit() or len(value) > 9 or int(value) > MOST_BODY):
-            raise BadRequest(413 if value.isdigit() else 400, f"Content-Length {value[:20]!r}")
-        if lower in self.call.fields and lower.startswith((b"x-", b"idempotency-key")):
-            raise BadRequest(400, "a header field is given twice")
-        self.call.fields[lower] = value
+            raise Rejected(413 if value.isdigit() else 400, f"Content-Length {value[:20]!r}")
+        if lower in self.coming.fields and lower.startswith((b"x-", b"idempotency-key")):
+            raise Rejected(400, "a header field is given twice")
+        self.coming.fields[lower] = value
         if lower not in NOT_FORWARDED:
-            self.call.head.append(name + b": " + value + b"\r\n")
+            self.coming.head.append((name, value))
 
     def on_headers_complete(self) -> None:
         self.headed, self.raw = True, 0
-        call = self.call
-        call.method = self.parser.get_method()
-        self._check(call)
-        expects = call.fields.get(b"expect", b"").lower() == b"100-continue"
+        coming = self.coming
+        coming.method = self.parser.get_method()
+        self._check(coming)
+        expects = coming.fields.get(b"expect", b"").lower() == b"100-continue"
         if expects and self.current is None and not self.waiting and self.transport:
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, part: bytes) -> None:
         self.size += len(part)
         if self.size > MOST_BODY:
-            raise BadRequest(413, "body too long")
+            raise Rejected(413, "body too long")
         self.parts.append(part)
 
     def on_message_complete(self) -> None:
-        call, self.call = self.call, Call()
-        call.body, call.heard = b"".join(self.parts), self.heard
-        call.keep = self.parser.should_keep_alive()
+        coming, self.coming = self.coming, Incoming()
+        coming.body, coming.heard = b"".join(self.parts), self.heard
+        coming.keep = self.parser.should_keep_alive()
         self.parts, self.reading, self.headed, self.raw = [], False, False, 0
-        self.waiting.append(call)
+        self.waiting.append(coming)
 
-    def _check(self, call: Call) -> None:
+    def _check(self, item: Incoming) -> None:
         """Turns away by the head alone: nothing behind it need be read."""
-        path = call.target.split(b"?", 1)[0]
+        path = item.target.split(b"?", 1)[0]
         if path == b"/api":
-            if call.method not in (b"GET", b"POST"):
-                raise BadRequest(405, f"{call.method.decode()} /api")
-            self.host.check(call)
+            if item.method not in (b"GET", b"POST"):
+                raise Rejected(405, f"{item.method.decode()} /api")
+            self.host.check(item)
         elif path != b"/ready":
-            raise BadRequest(404, f"unknown path {path[:60]!r}")
-        elif call.method not in (b"GET", b"HEAD"):
-            raise BadRequest(405, f"{call.method.decode()} /ready")
+            raise Rejected(404, f"unknown path {path[:60]!r}")
+        elif item.method not in (b"GET", b"HEAD"):
+            raise Rejected(405, f"{item.method.decode()} /ready")
 
     # ------------------------------------------------------------------------------------------
 
@@ -231,40 +198,51 @@
         elif not transport.is_reading():
             transport.resume_reading()
 
-    def _begin(self, item: Call | BadRequest) -> None:
-        if isinstance(item, BadRequest):
+    def _begin(self, item: Incoming | Rejected) -> None:
+        if isinstance(item, Rejected):
             self._reject(item)
             return
         self.current = item
         try:
             if item.target.split(b"?", 1)[0] == b"/ready":
-                self.answer(200 if self.host.ready() else 503)
+                self.reply(200 if self.host.ready() else 503)
             else:
                 self.host.take(self, item)
-        except BadRequest as err:
+        except Rejected as err:
             self._reject(err)
         except Exception as err:  # danger: a fault of ours must not leave the caller unanswered
-            self._reject(BadRequest(502, f"{type(err).__name__}: {err}"))
+            self._reject(Rejected(502, f"{type(err).__name__}: {err}"))
 
-    def _reject(self, err: BadRequest) -> None:
+    def _reject(self, err: Rejected) -> None:
         """Answers and closes: the same again must cost its sender a connection."""
         self.table.note(f"{err.status}: {err}")
         if self.current is None:
-            self.current = Call()
+            self.current = Incoming()
         self.current.keep = False
-        self.answer(err.status)
+        self.reply(err.status, retry_after=err.retry_after)
 
     @property
     def more(self) -> bool:
         """Whether requests, or parts of one, have come that are not answered yet."""
         return bool(self.waiting or self.unread or self.reading)
 
-    def answer(self, status: int, body: bytes = b"", content_type: bytes = b"", retry_after: int = 0) -> None:
+    def answer(self, call: Call, answer: Answer) -> None:
+        """What the engine settled."""
+        if self.current is None or self.current.call is not call:  # danger: it must not meet another request
+            return
+        if isinstance(answer, Served):
+            self.reply(200, answer.body, answer.content_type)
+        elif isinstance(answer, Refused):
+            self.reply(503, retry_after=answer.retry_after_ns)
+        else:
+            self.reply(502)
+
+    def reply(self, status: int, body: bytes = b"", content_type: bytes = b"", retry_after: int = 0) -> None:
         """The one answer to the request in work."""
-        call, transport = self.current, self.transport
-        self.current = None
+        item, transport = self.current, self.transport
+        self.current = self.request = None
         self.asked += 1
-        if call is None or transport is None or transport.is_closing():
+        if item is None or transport is None or transport.is_closing():
             return
         head = [f"HTTP/1.1 {status} {REASONS[status]}\r\nContent-Length: {len(body)}\r\n".encode()]
         if content_type:
@@ -274,9 +252,9 @@
         if status == 405:
             head.append(b"Allow: GET, POST\r\n")
         # Danger: requests that have been read already would be dropped by a close.
-        close = not call.keep or ((self.surplus or self.host.draining) and not self.more)
+        close = not item.keep or ((self.surplus or self.host.draining) and not self.more)
         head.append(b"Connection: close\r\n\r\n" if close else b"\r\n")
-        transport.write(b"".join(head) + (b"" if call.method == b"HEAD" else body))
+        transport.write(b"".join(head) + (b"" if item.method == b"HEAD" else body))
         if close:
             self.close()
         else:
@@ -305,7 +283,7 @@
             return
         elif self.reading:
             if for_long > HALF:
-                self._break(BadRequest(408, "half a request"))
+                self._break(Rejected(408, "half a request"))
                 self._next()
         elif stopping or (not self.asked and for_long > SILENT):
             self.close()
--- a/minthitch/net/discovery.py
+++ b/minthitch/net/discovery.py
@@ -1,95 +1,25 @@
-"""Discovery: the list of servers and its watch."""
+"""Discovery over HTTP/1.1: the list of servers and its watch, as the engine's source of lists."""
 
 from __future__ import annotations
 
 import asyncio
-import ipaddress
-import json
-import math
-from collections.abc import Callable
-from dataclasses import dataclass
+import random
+from collections.abc import Callable, Coroutine
 from typing import Any, cast
 
 import httptools
 
+from minthitch.engine.core import Engine
+from minthitch.interface import ListKind
+from minthitch.listing import Listing, ListError, decode, parse_address
+
+PAUSE_LEAST, PAUSE_MOST = 0.1, 0.5  # seconds before a watch is opened again, before jitter
 MOST_LINE = 8 * 1024 * 1024
-STATES = ("up", "draining", "removed")
 SILENCE = 3.5  # seconds after which a watch is dead: an empty line is due every 2 s
 CALL_TIMEOUT = 5.0  # a call for the list takes no longer
 HEAD_TIMEOUT = 2.0  # nor do a connection to discovery and the head of an answer where lists are pushed
 
 
-class DiscoveryError(Exception):
-    """An answer that can't be used; the text says why."""
-
-
-@dataclass(frozen=True, slots=True)
-class Host:
-    name: str
-    address: str
-    port: int
-    zone: str
-    kind: str
-    cell: int
-    state: str
-    weight: float
-    born_ms: int
-
-
-@dataclass(frozen=True, slots=True)
-class Listing:
-    seq: int
-    whole: bool
-    hosts: tuple[Host, ...]
-
-
-def parse_address(text: object) -> tuple[str, int]:
-    if not isinstance(text, str):
-        raise DiscoveryError("an address is no text")
-    host, colon, port = text.rpartition(":")
-    if not colon or not host or not port.isdecimal() or not 0 < int(port) < 65536:
-        raise DiscoveryError(f"bad address {text[:60]!r}")
-    try:  # danger: a name would be looked up, and there is no DNS
-        return str(ipaddress.ip_address(host.strip("[]"))), int(port)
-    except ValueError:
-        raise DiscoveryError(f"bad address {text[:60]!r}") from None
-
-
-def _whole(row: dict[str, Any], name: str, default: int | None) -> int:
-    value = row.get(name, default)
-    if isinstance(value, bool) or not isinstance(value, int) or value < 0:
-        raise DiscoveryError(f"{name} is not a whole number")
-    return value
-
-
-def _host(row: object) -> Host:
-    if not isinstance(row, dict) or not isinstance(row.get("host"), str):
-        raise DiscoveryError("an entry names no host")
-    state, weight = row.get("health", "up"), row.get("share", 1.0)
-    if state not in STATES:
-        raise DiscoveryError(f"health {state!r} is unknown")
-    if isinstance(weight, bool) or not isinstance(weight, (int, float)) or not 0 <= weight < math.inf:
-        raise DiscoveryError("share is not a number")
-    address, port = ("", 0) if state == "removed" else parse_address(row.get("dial"))
-    return Host(row["host"], address, port, str(row.get("site", "")), str(row.get("class", "")),
-                _whole(row, "block", 0), state, float(weight), _whole(row, "born_ms", 0))
-
-
-def parse_listing(value: object) -> Listing:
-    """A list or a change of it, from decoded JSON. It is taken whole or not at all."""
-    if not isinstance(value, dict) or not isinstance(value.get("hosts"), list):
-        raise DiscoveryError("no list of hosts")
-    return Listing(_whole(value, "seq", None), value.get("whole") is True,
-                   tuple(_host(row) for row in value["hosts"]))
-
-
-def decode(text: bytes) -> Listing:
-    try:
-        return parse_listing(json.loads(text))
-    except (ValueError, RecursionError) as err:
-        raise DiscoveryError(f"not JSON ({err})") from None
-
-
 class Call(asyncio.Protocol):
     """One GET to discovery: a whole answer, or a watch that gives a line at a time."""
 
@@ -113,7 +43,7 @@
             self.parser.feed_data(data)
         except httptools.HttpParserError as err:
             cause = err.__context__ or err
-            self._fail(cause if isinstance(cause, DiscoveryError) else DiscoveryError(f"bad answer: {err}"))
+            self._fail(cause if isinstance(cause, ListError) else ListError(f"bad answer: {err}"))
 
     def on_headers_complete(self) -> None:
         if not self.headed.done():
@@ -122,7 +52,7 @@
     def on_body(self, part: bytes) -> None:
         self.buffer += part
         if len(self.buffer) > MOST_LINE:
-            raise DiscoveryError("the list is too long")
+            raise ListError("the list is too long")
         if self.on_line is None or self.parser.get_status_code() != 200:
             return
         *lines, rest = self.buffer.split(b"\n")
@@ -136,9 +66,9 @@
             self.ended.set_result(bytes(self.buffer))
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self._fail(DiscoveryError(f"the connection ended ({exc or 'closed'})"))
+        self._fail(ListError(f"the connection ended ({exc or 'closed'})"))
 
-    def _fail(self, err: DiscoveryError) -> None:
+    def _fail(self, err: ListError) -> None:
         for future in (self.headed, self.ended):
             if not future.done():
                 future.set_exception(err)
@@ -164,11 +94,11 @@
                 status = await call.headed
         except (OSError, TimeoutError) as err:
             if call is not None:
-                call._fail(DiscoveryError("no answer"))
-            raise DiscoveryError(f"no answer ({type(err).__name__})") from None
+                call._fail(ListError("no answer"))
+            raise ListError(f"no answer ({type(err).__name__})") from None
         if status != 200:
-            call._fail(DiscoveryError(f"answered {status}"))
-            raise DiscoveryError(f"answered {status}")
+            call._fail(ListError(f"answered {status}"))
+            raise ListError(f"answered {status}")
         return call
 
     async def fetch(self) -> Listing:
@@ -178,9 +108,9 @@
             async with asyncio.timeout(CALL_TIMEOUT):
                 return decode(await call.ended)
         except TimeoutError:
-            raise DiscoveryError("no answer (TimeoutError)") from None
+            raise ListError("no answer (TimeoutError)") from None
         finally:
-            call._fail(DiscoveryError("done"))
+            call._fail(ListError("done"))
 
     async def watch(self, after: int, on_listing: Callable[[Listing], None]) -> None:
         """Gives each change to `on_listing` until the watch ends.
@@ -192,8 +122,101 @@
         try:
             while not call.ended.done():
                 if (left := call.heard + SILENCE - loop.time()) <= 0:
-                    raise DiscoveryError("the watch fell silent")
+                    raise ListError("the watch fell silent")
                 await asyncio.wait([call.ended], timeout=left)
             await call.ended
         finally:
-            call._fail(DiscoveryError("done"))
+            call._fail(ListError("done"))
+
+
+class Discovery:
+    """Keeps an engine's list by a watch; where lists are asked for, the Balancer says when."""
+
+    def __init__(self, address: str, engine: Engine, seed: int) -> None:
+        self.engine, self.asked = engine, engine.settings.ask_for_list
+        self.loop = asyncio.get_running_loop()
+        self.random = random.Random(seed)
+        self.client = self._client(address)
+        self.seq = 0  # of the last list or change heard
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.watching: asyncio.Task[None] | None = None
+
+    def _client(self, address: str) -> Client:
+        # Where lists are asked for, it is one service for all nodes, with a queue.
+        return Client(address, CALL_TIMEOUT if self.asked else HEAD_TIMEOUT)
+
+    def start(self) -> None:
+        """Pushed lists are watched from the start; else the Balancer subscribes."""
+        self.seq = self.engine.fleet.seq
+        if not self.asked and self.watching is None:
+            self._watch_anew()
+
+    def move(self, address: str) -> None:
+        """Takes another discovery; the old list stays until the new one comes."""
+        self.client = self._client(address)
+        self.seq = 0  # danger: another discovery counts for itself
+        if self.watching is not None:
+            self.watching.cancel()
+        self._watch_anew()
+
+    def subscribe(self) -> None:
+        if self.watching is None or self.watching.done():
+            self._watch_anew()
+
+    def refresh(self) -> None:
+        self._spawn(self._refresh())
+
+    async def close(self) -> None:
+        for task in list(self.tasks):
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    def _watch_anew(self) -> None:
+        self.watching = self._spawn(self._watch_once() if self.asked else self._keep_watching())
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        task = self.loop.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self._reap)
+        return task
+
+    def _reap(self, task: asyncio.Task[None]) -> None:
+        self.tasks.discard(task)
+        if not task.cancelled() and (err := task.exception()) is not None:
+            self.engine.log_error("a task failed", err)
+
+    async def _keep_watching(self) -> None:
+        """Push: the list comes unasked, over a watch that is opened again whenever it ends."""
+        pause = PAUSE_LEAST
+        while True:
+            before = self.seq
+            await self._watch()
+            pause = PAUSE_LEAST if self.seq != before else min(2 * pause, PAUSE_MOST)
+            await asyncio.sleep(pause * self.random.uniform(0.5, 1.5))  # or all nodes would come at once
+
+    async def _watch(self) -> None:
+        client = self.client
+        try:
+            if not self.seq:  # in full: what a watch tells first may leave out what is gone
+                self._heard(await client.fetch())
+            await client.watch(self.seq, self._heard)
+        except ListError as err:
+            self.engine.log(f"watch: {err}")
+
+    async def _watch_once(self) -> None:
+        """Ask: the Balancer decides when to subscribe again."""
+        await self._watch()
+        self.watching = None
+        self.engine.list_failed()
+
+    async def _refresh(self) -> None:
+        try:
+            self._heard(await self.client.fetch())
+        except ListError as err:
+            self.engine.log(f"list: {err}")
+            if self.asked:
+                self.engine.list_failed()
+
+    def _heard(self, listing: Listing) -> None:
+        self.seq = listing.seq
+        self.engine.listed(listing, ListKind.FULL if listing.whole else ListKind.CHANGES)
--- a/minthitch/net/servers.py
+++ b/minthitch/net/servers.py
@@ -9,12 +9,14 @@
 import errno
 import select
 import time
-from collections.abc import Callable
 from typing import cast
 
 import httptools
 
 from minthitch import interface as api
+from minthitch.engine.attempts import Attempt
+from minthitch.engine.calls import Served
+from minthitch.engine.fleet import Server
 
 MOST_BODY = 1024 * 1024  # 64 KiB are stated, but good answers of 300 KB come (c207e3d7)
 MOST_HELD = 12 * 1024 * 1024  # bytes of all unfinished answers together: memory may be 32 MB
@@ -25,53 +27,21 @@
 STALE_WITHIN = 50 * api.MILLISECOND  # a kept connection that breaks so soon was dead when it was used
 WARY_FOR = 30.0  # seconds after such a break in which what may not be repeated goes out on young connections
 YOUNG = 0.05  # seconds idle up to which a kept connection is as good as new (3489581c: 1 in 70 dead)
+HOP_BY_HOP = frozenset((  # fields of an answer that belong to its connection
+    b"connection", b"keep-alive", b"proxy-connection", b"transfer-encoding", b"content-length", b"trailer",
+    b"upgrade"))
 NO_LIMIT_IDLE = 15 * api.SECOND  # where the settings state no idle limit
 
 
-class Server:
-    """A server as discovery names it, and its idle connections, the latest used last."""
-
-    __slots__ = ("name", "number", "host", "port", "born_ms", "entry", "told", "retired", "idle")
-
-    def __init__(self, name: str, number: int, host: str, port: int, born_ms: int,
-                 entry: api.ServerEntry) -> None:
-        self.name, self.number, self.host, self.port = name, number, host, port
-        self.born_ms, self.entry = born_ms, entry
-        self.told = 0  # when the node was told that it drains or is gone; 0 = it does not
-        self.retired = False  # started anew, or listed at another address
-        self.idle: list[Connection] = []
-
-
-class Attempt:
-    """One send of a request to one server. It ends once, with a Status told to `on_end`."""
-
-    __slots__ = ("server", "data", "may_write", "on_end", "once", "started", "status", "connection",
-                 "connecting", "body", "content_type", "timer")
-
-    def __init__(self, server: Server, data: Callable[[], bytes], may_write: Callable[[], bool],
-                 on_end: Callable[[Attempt], None], once: bool) -> None:
-        self.once = once  # may not go out again once it may have run
-        self.server, self.data, self.may_write, self.on_end = server, data, may_write, on_end
-        self.started = time.monotonic_ns()
-        self.status: api.Status | None = None
-        self.connection: Connection | None = None
-        self.connecting: asyncio.Task[None] | None = None
-        self.timer: asyncio.TimerHandle | None = None
-        self.body, self.content_type = b"", b""
-
-    def end(self, status: api.Status) -> None:
-        """Ends the attempt, once; a connection on which it is still out is closed."""
-        if self.status is not None:
-            return
-        self.status = status
-        if self.timer is not None:
-            self.timer.cancel()
-        connection, self.connection = self.connection, None
-        if connection is not None:
-            connection.close()  # danger: an answer to a given-up attempt must not meet the next request
-        if self.connecting is not None:
-            self.connecting.cancel()
-        self.on_end(self)
+def request_bytes(attempt: Attempt) -> bytes:
+    """A request as it goes out, with the time that it has left now."""
+    message = attempt.message
+    head = [b"%s %s HTTP/1.1\r\n" % (message.method, message.target)]
+    head += [b"%s: %s\r\n" % field for field in message.fields]
+    head.append(b"X-Time-Left: %du\r\n" % (attempt.left // 1_000))
+    if message.body or message.method != b"GET":
+        head.append(b"Content-Length: %d\r\n" % len(message.body))
+    return b"".join(head) + b"\r\n" + message.body
 
 
 class Connection(asyncio.Protocol):
@@ -99,7 +69,8 @@
 
     def _begin(self) -> None:
         self.unprocessed = self.lasts = False
-        self.status, self.content_type, self.body = 0, b"", b""
+        self.status, self.body = 0, b""
+        self.fields: list[tuple[bytes, bytes]] = []
         self.parts: list[bytes] = []
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -109,9 +80,9 @@
 
     def send(self, attempt: Attempt) -> None:
         assert self.transport is not None
-        self.attempt, attempt.connection = attempt, self
+        self.attempt, attempt.carried = attempt, self
         self.written = False
-        self.transport.write(attempt.data())
+        self.transport.write(request_bytes(attempt))
         # Danger: bytes in the transport's buffer have not left; a break before they do proves it never ran.
         self.written = self.transport.get_write_buffer_size() == 0
 
@@ -168,8 +139,8 @@
             raise ValueError("body too long")  # danger: waiting for it would fill the memory
         if name == b"x-unprocessed":
             self.unprocessed = value.strip() == b"1"
-        elif name == b"content-type":
-            self.content_type = value
+        if name not in HOP_BY_HOP:
+            self.fields.append((name, value))
 
     def on_headers_complete(self) -> None:
         self.headed = self.headed or self.parser.get_status_code() >= 200
@@ -199,14 +170,14 @@
     def _answered(self) -> None:
         attempt = self.attempt
         assert attempt is not None
-        attempt.body, attempt.content_type = self.body, self.content_type
+        answer = Served(self.body, tuple(self.fields))
         status = outcome(self.status, self.unprocessed)
         keep = self.lasts and self.written and not self.surplus
         self._reset()
         if keep:
-            self.attempt, attempt.connection = None, None
+            self.attempt, attempt.carried = None, None
             self.pool.keep(self)
-        attempt.end(status)
+        attempt.end(status, answer)
 
     def _finish(self, status: api.Status) -> None:
         if self.attempt is not None:
@@ -214,6 +185,10 @@
         else:
             self.close()
 
+    def drop(self) -> None:
+        """The attempt on it was given up."""
+        self.close()
+
     def close(self) -> None:
         self.attempt = None
         self._release()
@@ -245,6 +220,18 @@
     return api.Status.ERROR
 
 
+class Connecting:
+    """An attempt whose connection is not up yet."""
+
+    __slots__ = ("task",)
+
+    def __init__(self, task: asyncio.Task[None]) -> None:
+        self.task = task
+
+    def drop(self) -> None:
+        self.task.cancel()
+
+
 class Pool:
     """The connections to all servers, bounded in number."""
 
@@ -258,6 +245,8 @@
         self.wary = 0.0  # until when kept connections are not to be trusted
         self.held = 0  # bytes of answers that are not whole yet
         self.idle: dict[Connection, None] = {}  # in the order in which they became idle
+        self.kept: dict[Server, list[Connection]] = {}  # the same by server, the latest used last
+        self.tasks: set[asyncio.Task[None]] = set()  # danger: a task that nobody holds may be collected
         self.sweeper = self.loop.call_later(self.idle_for / 4, self._sweep)
 
     def start(self, attempt: Attempt) -> None:
@@ -265,29 +254,32 @@
         server, now = attempt.server, self.loop.time()
         # Danger: servers that drop kept connections unsaid turn what may not be repeated into a failure.
         most = YOUNG if attempt.once and now < self.wary else self.idle_for
-        while server.idle:
-            if now - server.idle[-1].used >= most and most < self.idle_for:
+        while kept := self.kept.get(server):
+            if now - kept[-1].used >= most and most < self.idle_for:
                 break  # the others are older still, and good for what may be repeated
-            connection = server.idle.pop()
-            self.idle.pop(connection, None)
+            connection = kept[-1]
+            self._unkeep(connection)
             if now - connection.used < self.idle_for and connection.quiet:
                 connection.reused = True
                 connection.send(attempt)
                 return
             connection.close()
-        attempt.connecting = self.loop.create_task(self._connect(attempt))
+        task = self.loop.create_task(self._connect(attempt))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        attempt.carried = Connecting(task)
 
     async def _connect(self, attempt: Attempt) -> None:
         try:
             async with asyncio.timeout(self.connect_timeout):
                 connection = await self._open(attempt.server)
         except (OSError, TimeoutError, ValueError) as err:  # the last for an address that no socket takes
-            attempt.connecting = None
+            attempt.carried = None
             # Danger: a lack of our own would pass for a sick server.
             own = isinstance(err, OSError) and err.errno in OWN_LACK
             attempt.end(api.Status.MOOT if own else api.Status.CONNECT_FAILED)
             return
-        attempt.connecting = None
+        attempt.carried = None
         if not connection.usable:
             attempt.end(api.Status.CONNECT_FAILED)
         elif attempt.may_write():
@@ -311,22 +303,28 @@
 
     def keep(self, connection: Connection) -> None:
         """Takes a connection back, if its server is still the one that it was opened to."""
-        if not connection.usable or connection.server.told or connection.server.retired:
+        if not connection.usable or not connection.server.usable:
             connection.close()
             return
         connection.used = self.loop.time()
-        connection.server.idle.append(connection)
+        self.kept.setdefault(connection.server, []).append(connection)
         self.idle[connection] = None
 
-    def forget(self, connection: Connection) -> None:
-        self.opened.discard(connection)
+    def _unkeep(self, connection: Connection) -> None:
         if connection in self.idle:
             del self.idle[connection]
-            connection.server.idle.remove(connection)
+            kept = self.kept[connection.server]
+            kept.remove(connection)
+            if not kept:
+                del self.kept[connection.server]
+
+    def forget(self, connection: Connection) -> None:
+        self.opened.discard(connection)
+        self._unkeep(connection)
 
     def hang_up(self, server: Server) -> None:
         """Closes the idle connections to a server."""
-        for connection in list(server.idle):
+        for connection in list(self.kept.get(server, ())):
             connection.close()
 
     def _sweep(self) -> None:
--- a/minthitch/policy.py
+++ b/minthitch/policy.py
@@ -1,6 +1,6 @@
 """Every decision of the balancer. Settings, events and actions: minthitch/interface.py.
 
-Request Replication (docs/design.md): per server a latency curve fitted to this node's own outcomes; per call
+Request Replication (docs/design): per server a latency curve fitted to this node's own outcomes; per call
 the cheapest set of servers whose joint chance to answer in time reaches the target, raced; losers cancelled.
 """
 
--- a/tests/net.py
+++ b/tests/net.py
@@ -12,8 +12,9 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from minthitch.net import discovery
-from minthitch.net.node import Config, Node
+from minthitch.config import Config
+from minthitch.listing import parse_listing
+from minthitch.net.node import Node
 from minthitch.settings import from_object
 
 MS = 1_000_000
@@ -241,7 +242,7 @@
 
 
 def config(table: dict[str, Any], address: str, known: list[dict[str, Any]], sockets: int = 1024) -> Config:
-    listing = discovery.parse_listing({"seq": 7, "whole": True, "hosts": known})
+    listing = parse_listing({"seq": 7, "whole": True, "hosts": known})
     return Config("test", ("127.0.0.1", 0), address, 1, sockets, listing, from_object(table))
 
 
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -9,4 +9,5 @@
 fi
 .venv/bin/ruff check .
 .venv/bin/mypy
+.venv/bin/lint-imports --no-cache > /dev/null || .venv/bin/lint-imports --no-cache
 .venv/bin/python -m pytest -q
--- /dev/null
+++ b/tests/test_layout.py
@@ -0,0 +1,35 @@
+"""What the default start loads: optional parts stay out of the platform's memory."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+DEFAULT_START = {
+    "minthitch", "minthitch.config", "minthitch.engine", "minthitch.engine.attempts",
+    "minthitch.engine.calls", "minthitch.engine.clock", "minthitch.engine.core", "minthitch.engine.fields",
+    "minthitch.engine.fleet", "minthitch.engine.ports", "minthitch.interface", "minthitch.listing",
+    "minthitch.log", "minthitch.net", "minthitch.net.callers", "minthitch.net.discovery",
+    "minthitch.net.node", "minthitch.net.servers", "minthitch.policy", "minthitch.settings",
+}
+NEVER = ("starlette", "fastapi", "httpx", "rich", "argparse", "sqlite3")
+
+
+def _modules(code: str) -> set[str]:
+    run = subprocess.run([sys.executable, "-c", f"{code}\nimport sys\nprint(*sys.modules)"], cwd=ROOT,
+                         capture_output=True, text=True, check=True)
+    return set(run.stdout.split())
+
+
+def test_the_default_start_loads_what_it_needs_and_no_more() -> None:
+    loaded = _modules("import minthitch.__main__, minthitch.net.node")
+    own = {name for name in loaded if name.split(".")[0] == "minthitch"} - {"minthitch.__main__"}
+    assert own == DEFAULT_START
+    assert not loaded & set(NEVER)
+
+
+def test_the_adapter_loads_no_transport() -> None:
+    loaded = _modules("import minthitch.benchlink")
+    assert not {name for name in loaded if name.startswith(("minthitch.net", "minthitch.engine", "uvloop"))}
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -14,7 +14,8 @@
 import uvloop
 
 from minthitch.interface import SetTimer, TimerFired
-from minthitch.net.servers import Connection, Pool, Server
+from minthitch.engine import Server
+from minthitch.net.servers import Connection, Pool
 from tests.net import OK, PATIENCE, SETTINGS, Seen, call, reply, reset, rig, serve_ok
 
 
@@ -97,7 +98,7 @@
         port = closed.sockets[0].getsockname()[1]
         closed.close()
         await closed.wait_closed()
-        for name, server in r.node.servers.items():
+        for name, server in r.node.engine.fleet.servers.items():
             if name == "s0":
                 server.port = port
         for _ in range(8):
@@ -140,7 +141,7 @@
         cells = {"s0": 0, "s1": 0, "s2": 1}
         r.discovery.change(*(
             {**host, "block": cells[host["host"]]} for host in r.discovery.hosts))
-        await r.until(lambda: r.node.seq == 2)
+        await r.until(lambda: r.node.engine.fleet.seq == 2)
         for _ in range(12):
             for server in r.servers:
                 server.seen.clear()
@@ -174,7 +175,7 @@
         await silent.until(lambda: silent.closed == 1)  # the loser's connection is closed, not kept
         again, _, _ = await caller.ask(call("safe"))
         assert again == 200
-        await r.until(lambda: not r.node.requests)
+        await r.until(lambda: not r.node.engine.requests)
 
 
 def test_a_race_is_ended_by_the_first_answer_and_its_losers_are_cancelled() -> None:
@@ -249,10 +250,11 @@
             host["dial"] = f"127.0.0.1:{second.sockets[0].getsockname()[1]}"
         r.discovery.change(host)
         await r.servers[0].until(lambda: r.servers[0].closed == 1)
-        before = r.node.servers["s0"].entry.started
+        before = r.node.engine.fleet.servers["s0"].entry.started
         r.discovery.change(host)
-        await r.until(lambda: r.node.seq == 3)
-        assert r.node.servers["s0"].entry.started == before  # or all that is known of it would be lost
+        await r.until(lambda: r.node.engine.fleet.seq == 3)
+        # Or all that is known of it would be lost.
+        assert r.node.engine.fleet.servers["s0"].entry.started == before
 
 
 def test_a_new_start_or_address_closes_the_kept_connections() -> None:
@@ -263,12 +265,12 @@
 async def _drained() -> None:
     async with rig(serve_ok, serve_ok) as r:
         r.discovery.change({**r.discovery.hosts[0], "health": "draining"})
-        await r.until(lambda: r.node.seq == 2)
+        await r.until(lambda: r.node.engine.fleet.seq == 2)
         for _ in range(10):
             assert (await r.ask(call("safe")))[0] == 200
         assert not r.servers[0].seen and r.servers[1].seen
         r.discovery.change(dict(r.discovery.hosts[1], health="removed"), r.discovery.hosts[0])
-        await r.until(lambda: r.node.seq == 3)
+        await r.until(lambda: r.node.engine.fleet.seq == 3)
         r.servers[1].seen.clear()
         for _ in range(10):
             assert (await r.ask(call("safe")))[0] == 200
@@ -303,7 +305,7 @@
         caller.writer.write(call("unsafe", left="900m"))
         await r.until(lambda: gate.waiting == 1)
         r.discovery.change({**r.discovery.hosts[0], "health": "draining"})
-        await r.until(lambda: r.node.seq == 2)
+        await r.until(lambda: r.node.engine.fleet.seq == 2)
         gate.opened.set()
         status, _, _ = await caller.answer()
         assert status == 503  # it never left, so a retry is harmless
@@ -322,9 +324,9 @@
         caller.writer.write(call("unsafe"))
         await r.until(lambda: gate.waiting == 1)
         caller.writer.close()
-        await r.until(lambda: not r.node.by_caller)
+        await r.until(lambda: not r.node.engine.open)
         gate.opened.set()
-        await r.until(lambda: not r.node.requests)
+        await r.until(lambda: not r.node.engine.requests)
         assert not r.servers[0].seen
 
 
@@ -381,7 +383,7 @@
         await r.servers[0].until(lambda: bool(r.servers[0].seen))
         caller.writer.close()
         await r.servers[0].until(lambda: r.servers[0].closed == 1)  # nobody waits: the attempt is given up
-        await r.until(lambda: not r.node.requests)
+        await r.until(lambda: not r.node.engine.requests)
         assert (await r.ask(b"GET /ready HTTP/1.1\r\n\r\n"))[0] == 200
 
 
@@ -428,7 +430,7 @@
         held = [await r.caller() for _ in range(2)]
         for caller in held:
             caller.writer.write(call("unsafe"))
-        await r.until(lambda: len(r.node.by_caller) == 2)
+        await r.until(lambda: len(r.node.engine.open) == 2)
         assert (await r.ask(call("unsafe")))[0] == 503
         assert len(r.sends) <= 2
 
@@ -450,16 +452,16 @@
 
 async def _decisions_fail(monkeypatch: pytest.MonkeyPatch) -> None:
     async with rig(serve_ok) as r:
-        real = r.node.balancer.handle
+        real = r.node.engine.balancer.handle
 
         def failing(now: int, event: Any) -> Any:
             if type(event).__name__ == "RequestArrived":
                 raise IndexError("out of range")
             return real(now, event)
 
-        monkeypatch.setattr(r.node.balancer, "handle", failing)
+        monkeypatch.setattr(r.node.engine.balancer, "handle", failing)
         assert (await r.ask(call("safe")))[0] == 502
-        monkeypatch.setattr(r.node.balancer, "handle", lambda now, event: [])
+        monkeypatch.setattr(r.node.engine.balancer, "handle", lambda now, event: [])
         assert (await r.ask(call("safe", left="200m")))[0] == 502  # held past its time
         monkeypatch.setattr(r.node, "take", lambda caller, call: 1 // 0)
         assert (await r.ask(call("safe")))[0] == 502  # a fault before the decisions
@@ -473,19 +475,19 @@
 
 async def _events_wait(monkeypatch: pytest.MonkeyPatch) -> None:
     async with rig(serve_ok) as r:
-        depth, deepest, handled, real = 0, 0, 0, r.node.balancer.handle
+        depth, deepest, handled, real = 0, 0, 0, r.node.engine.balancer.handle
 
         def watched(now: int, event: Any) -> Any:
             nonlocal depth, deepest, handled
             depth, handled = depth + 1, handled + 1
             deepest = max(deepest, depth)
             if type(event) is not TimerFired:
-                r.node.post(TimerFired(1 << 40 | 1))  # comes while the decisions are at work
+                r.node.engine.post(TimerFired(1 << 40 | 1))  # comes while the decisions are at work
             actions = real(now, event)
             depth -= 1
             return actions
 
-        monkeypatch.setattr(r.node.balancer, "handle", watched)
+        monkeypatch.setattr(r.node.engine.balancer, "handle", watched)
         assert (await r.ask(call("safe")))[0] == 200
         assert deepest == 1 and handled >= 4
 
@@ -502,11 +504,11 @@
         def posted(event: Any) -> None:
             early.append(due.pop(event.token) - time.monotonic_ns())
 
-        r.node.post = posted  # type: ignore[method-assign]
+        r.node.engine.post = posted  # type: ignore[method-assign]
         for token in range(300):
             delay = 1_000_000 + token * 70_001
             due[token] = time.monotonic_ns() + delay
-            r.node._act(SetTimer(token, delay))
+            r.node.engine._act(SetTimer(token, delay))
         await r.until(lambda: not due)
         assert max(early) <= 0  # one that comes early is ignored, and no other follows
 
--- a/tests/test_rough.py
+++ b/tests/test_rough.py
@@ -48,7 +48,7 @@
     async with rig(script, script) as r:
         status, _, _ = await r.ask(call("unsafe", left="6000m"))
         assert status == 502 and len(r.sends) == 1  # at once, and not by the deadline's timer
-        assert not next(iter(r.node.servers.values())).idle
+        assert not r.node.pool.idle
         spoilt = next(server for server in r.servers if server.seen)
         await spoilt.until(lambda: spoilt.closed == 1)
 
@@ -112,8 +112,8 @@
 async def _unread_bytes() -> None:
     async with rig(serve_ok) as r:
         assert (await r.ask(call("unsafe")))[0] == 200
-        server = next(iter(r.node.servers.values()))
-        kept = server.idle[0]
+        server = next(iter(r.node.engine.fleet.servers.values()))
+        kept = r.node.pool.kept[server][0]
         assert kept.transport is not None
         kept.transport.pause_reading()  # as when the loop has not come to it yet
         seen = r.servers[0].seen[0]
@@ -138,8 +138,8 @@
         r.node.pool.most = 1
         status, _, _ = await r.ask(call("unsafe", left="600m"))
         assert status == 503  # nothing of it has left the node
-        assert r.node.balancer.scarce == 0  # the lack is the node's own
-        assert next(iter(r.node.balancer.servers.values())).own.trials == 0
+        assert r.node.engine.balancer.scarce == 0  # the lack is the node's own
+        assert next(iter(r.node.engine.balancer.servers.values())).own.trials == 0
         first.cancel()
 
 
@@ -213,7 +213,7 @@
         assert (await one.answer())[0] == 200
         assert len(r.sends) == 1
         assert (await one.ask(data))[0] == 200  # it is free again
-        assert not r.node.ids
+        assert not r.node.engine.ids
 
 
 def test_the_id_of_another_open_request_is_turned_away() -> None:
