--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements: `python -m bench.NAME [--quick]`."""
--- a/minthitch/engine/core.py
+++ b/minthitch/engine/core.py
@@ -22,6 +22,13 @@
 FULL_BACK = 0.04, 0.12  # one over the limit of open requests comes back after this part of its aim
 
 
+def pause_when_full(settings: api.Settings, spec: api.RequestClass, rng: random.Random) -> int:
+    """When one that is turned away for room may ask again, in ns; spread, or all would come together."""
+    if not settings.retry_after:
+        return 0
+    return min(int(rng.uniform(*FULL_BACK) * spec.aim), settings.max_retry_after)
+
+
 class Request:
     """A request that was taken, until it is answered and its last attempt has ended."""
 
@@ -118,7 +125,8 @@
         if call.identity in self.ids:  # danger: servers would take the two for one
             raise Rejected(409, "the id of an open request")
         if full or 0 < self.settings.max_open <= len(self.open):
-            raise Rejected(503, "too many requests are open", self._pause(spec))
+            pause = pause_when_full(self.settings, spec, self.random)
+            raise Rejected(503, "too many requests are open", pause)
         # One that was pipelined has waited since its last byte came.
         deadline = (call.heard or now) + min(spec.deadline if call.left is None else call.left, spec.deadline)
         if self.leaving:  # the decisions then end it in time, by a refusal where that is harmless
@@ -132,12 +140,6 @@
                                      call.repeat))
         return request
 
-    def _pause(self, spec: api.RequestClass) -> int:
-        """When one that is turned away for room may ask again, in ns; spread, or all would come together."""
-        if not self.settings.retry_after:
-            return 0
-        return min(int(self.random.uniform(*FULL_BACK) * spec.aim), self.settings.max_retry_after)
-
     def leave(self, request: Request) -> None:
         """The asker has gone: it hears nothing more, and nothing more is sent."""
         if not request.over:
--- /dev/null
+++ b/minthitch/operatorfile.py
@@ -0,0 +1,171 @@
+"""An operator file (TOML) in plain units to a Config: for `serve`, `check` and the library.
+
+Every key that is not known is an error, as is every value out of range: one line with the key and the value.
+"""
+
+from __future__ import annotations
+
+import math
+import os
+import re
+import tomllib
+from collections.abc import Mapping
+from typing import Any
+
+from minthitch import interface as api
+from minthitch.config import MOST_SOCKETS, NO_SERVERS, Config, ConfigError
+from minthitch.listing import ListError, parse_address, static_listing
+
+UNITS = {"ms": api.MILLISECOND, "s": api.SECOND, "m": 60 * api.SECOND}
+DURATION = re.compile(r"(\d{1,9}(?:\.\d{1,6})?)(ms|s|m)")
+NOWHERE = ("127.0.0.1", 0)  # where a library listens: it does not
+CLASS_KEYS = frozenset(("name", "effect", "aim", "deadline", "group", "window", "worth", "late_worth"))
+TOP_KEYS = frozenset(("name", "listen", "servers", "discovery", "seed", "sockets", "classes", "limits",
+                      "rules"))
+LIMIT_KEYS = frozenset(("max_open", "max_attempts", "retry_after", "max_retry_after", "connect_timeout",
+                        "idle_close", "siblings", "may_duplicate"))
+RULE_KEYS = frozenset(("drain_grace", "answer_slack", "cold_share", "cold_time", "cold_multiple",
+                       "cold_window", "budget_share", "budget_free", "budget_window"))
+DEFAULT_LIMITS: dict[str, Any] = {
+    "max_open": 1_000, "max_attempts": 3, "retry_after": True, "max_retry_after": 2 * api.SECOND,
+    "connect_timeout": api.SECOND, "idle_close": 30 * api.SECOND}
+DEFAULT_RULES: dict[str, Any] = {
+    "answer_slack": 20 * api.MILLISECOND, "drain_grace": 500 * api.MILLISECOND}
+TIMES = frozenset(("aim", "deadline", "window", "max_retry_after", "connect_timeout", "idle_close",
+                   "drain_grace", "answer_slack", "cold_time", "cold_window", "budget_window"))
+FLAGS = frozenset(("retry_after", "may_duplicate"))
+WHOLE = frozenset(("max_open", "max_attempts", "siblings"))
+
+
+def duration(value: object, where: str) -> int:
+    """`"250ms"`, `"1.5s"` or `"2m"` in nanoseconds. Raises ConfigError."""
+    if not isinstance(value, str) or not (match := DURATION.fullmatch(value)):
+        raise ConfigError(f'{where} = {value!r} is not a time such as "250ms" or "1.5s"')
+    return int(float(match[1]) * UNITS[match[2]])
+
+
+def _value(name: str, value: object, where: str) -> Any:
+    if name in TIMES:
+        return duration(value, where)
+    if name in FLAGS:
+        if not isinstance(value, bool):
+            raise ConfigError(f"{where} = {value!r} is not true or false")
+        return value
+    if isinstance(value, bool) or not isinstance(value, (int, float)) or not 0 <= value < math.inf:
+        raise ConfigError(f"{where} = {value!r} is not a number of 0 or more")
+    if name in WHOLE and not isinstance(value, int):
+        raise ConfigError(f"{where} = {value!r} is not a whole number")
+    return value
+
+
+def _known(table: Mapping[str, Any], names: frozenset[str], where: str) -> None:
+    for name, value in table.items():
+        if name not in names:
+            raise ConfigError(f"{where}{name} = {value!r} is unknown; known are {', '.join(sorted(names))}")
+
+
+def _section(top: Mapping[str, Any], name: str, names: frozenset[str],
+             defaults: dict[str, Any]) -> dict[str, Any]:
+    table = top.get(name, {})
+    if not isinstance(table, dict):
+        raise ConfigError(f"{name} = {table!r} is not a table")
+    _known(table, names, f"{name}.")
+    return defaults | {key: _value(key, value, f"{name}.{key}") for key, value in table.items()}
+
+
+def _choice(kinds: type[api.Effect] | type[api.Group], value: object, where: str) -> Any:
+    try:
+        return kinds(value)
+    except ValueError:
+        raise ConfigError(f"{where} = {value!r} is not one of {', '.join(k.value for k in kinds)}") from None
+
+
+def _class(row: object, where: str) -> api.RequestClass:
+    if not isinstance(row, dict):
+        raise ConfigError(f"{where} = {row!r} is not a table")
+    _known(row, CLASS_KEYS, f"{where}.")
+    name = row.get("name")
+    if not isinstance(name, str) or not name.isascii() or not name.isprintable() or not name or " " in name:
+        raise ConfigError(f"{where}.name = {name!r} is not a name without spaces")
+    for needed in ("aim", "deadline"):
+        if needed not in row:
+            raise ConfigError(f"{where}.{needed} is missing (class {name!r})")
+    rest = {key: _value(key, row[key], f"{where}.{key}")
+            for key in ("aim", "deadline", "window", "worth", "late_worth") if key in row}
+    effect = _choice(api.Effect, row.get("effect", "unsafe"), f"{where}.effect")
+    if effect is api.Effect.KEYED and not rest.get("window"):
+        raise ConfigError(f"{where}.window is missing: how long the servers drop a repeat (class {name!r})")
+    if rest["aim"] > rest["deadline"]:
+        raise ConfigError(f"{where}.aim = {row['aim']!r} is over its deadline {row['deadline']!r}")
+    return api.RequestClass(name=name, effect=effect,
+                            group=_choice(api.Group, row.get("group", "all"), f"{where}.group"), **rest)
+
+
+def _settings(top: Mapping[str, Any]) -> api.Settings:
+    rows = top.get("classes")
+    if not isinstance(rows, list) or not rows:
+        raise ConfigError(f"classes = {rows!r} is not a list of [[classes]]")
+    classes = tuple(_class(row, f"classes[{i}]") for i, row in enumerate(rows))
+    names = [spec.name for spec in classes]
+    if twice := {name for name in names if names.count(name) > 1}:
+        raise ConfigError(f"classes: name {min(twice)!r} is given twice")
+    limits = _section(top, "limits", LIMIT_KEYS, DEFAULT_LIMITS)
+    rules = _section(top, "rules", RULE_KEYS, DEFAULT_RULES)
+    try:
+        return api.Settings(classes=classes, **limits, **rules)
+    except ValueError as err:
+        raise ConfigError(str(err)) from None
+
+
+def _address(value: object, where: str) -> tuple[str, int]:
+    try:
+        return parse_address(value)
+    except ListError as err:
+        raise ConfigError(f"{where} = {value!r}: {err}") from None
+
+
+def _sockets(value: object) -> int:
+    if isinstance(value, bool) or not isinstance(value, int) or not 64 <= value <= MOST_SOCKETS:
+        raise ConfigError(f"sockets = {value!r} is not a whole number from 64 to {MOST_SOCKETS}")
+    return value
+
+
+def _seed(value: object) -> int:
+    try:
+        return int(str(value), 16)
+    except ValueError:
+        raise ConfigError(f"seed = {value!r} is not hexadecimal") from None
+
+
+def from_table(top: Mapping[str, Any]) -> Config:
+    """A Config from the decoded file. Raises ConfigError."""
+    _known(top, TOP_KEYS, "")
+    name = top.get("name", "minthitch")
+    if not isinstance(name, str) or not name:
+        raise ConfigError(f"name = {name!r} is not a text")
+    servers, discovery = top.get("servers"), top.get("discovery", "")
+    if (servers is None) == (not discovery):
+        raise ConfigError("either servers or discovery must be given, and not both")
+    if servers is not None and (not isinstance(servers, list) or not servers):
+        raise ConfigError(f"servers = {servers!r} is not a list of addresses")
+    if discovery:
+        _address(discovery, "discovery")
+    for i, server in enumerate(servers or ()):
+        _address(server, f"servers[{i}]")
+    try:
+        known = static_listing(servers) if servers is not None else NO_SERVERS
+    except ListError as err:
+        raise ConfigError(f"servers = {servers!r}: {err}") from None
+    listen = _address(top["listen"], "listen") if "listen" in top else NOWHERE
+    return Config(name, listen, discovery, _seed(top.get("seed", "0")),
+                  _sockets(top.get("sockets", MOST_SOCKETS)), known, _settings(top))
+
+
+def read(path: str | os.PathLike[str]) -> Config:
+    """A Config from a TOML file. Raises ConfigError."""
+    try:
+        with open(path, "rb") as file:
+            top = tomllib.load(file)
+    except (OSError, ValueError, RecursionError) as err:
+        raise ConfigError(f"{path}: {err}") from None
+    return from_table(top)
