Command line: serve, check and a demo that ends by itself; the engine tested with a clock by hand

Need: a new user had no way in but the platform's JSON; and the engine was tested only through sockets.

Change: `serve` runs a node by an operator file and flags (a static list needs no discovery and is read again on SIGHUP), `check` judges a configuration with key and value and exit code 2, `demo` plays a silent, a draining and a cold server under traffic with a live table.

`python -m minthitch` without arguments loads no module of the command line (a test holds it).

--- /dev/null
+++ b/minthitch/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line beside the platform's plain start: `serve`, `check` and `demo`."""
--- /dev/null
+++ b/minthitch/cli/commands.py
@@ -0,0 +1,97 @@
+"""`python -m minthitch COMMAND`. Arguments are read here; each command's work is elsewhere."""
+
+from __future__ import annotations
+
+import argparse
+import json
+import os
+from collections.abc import Sequence
+from dataclasses import replace
+from pathlib import Path
+
+from minthitch import config as platform
+from minthitch import operatorfile
+from minthitch.config import MOST_SOCKETS, Config, ConfigError
+from minthitch.listing import ListError, parse_address, static_listing
+from minthitch.program import complain, run
+
+
+def parser() -> argparse.ArgumentParser:
+    top = argparse.ArgumentParser(
+        prog="python -m minthitch",
+        description="A load-balancing node. Without a command it is told what it is by BALANCER_CONFIG.")
+    commands = top.add_subparsers(dest="command", required=True)
+    serve = commands.add_parser("serve", help="run a node by an operator file and flags")
+    serve.add_argument("config", nargs="?", help="operator file (.toml), or the platform's JSON")
+    serve.add_argument("--listen", metavar="ADDRESS:PORT", help="where callers connect")
+    serve.add_argument("--server", metavar="ADDRESS:PORT", action="append", default=[],
+                       help="a server; several make a static list that needs no discovery")
+    serve.add_argument("--discovery", metavar="ADDRESS:PORT", help="where the list of servers comes from")
+    serve.add_argument("--name", help="in front of each log line")
+    serve.add_argument("--sockets", type=int, metavar="N", help="descriptors, 64 to 1024")
+    check = commands.add_parser("check", help="judge a configuration: exit code 0, or 2 with key and value")
+    check.add_argument("config", help="operator file (.toml), or the platform's JSON")
+    demo = commands.add_parser("demo", help="stand-in servers, discovery, a node and traffic on loopback")
+    demo.add_argument("--seconds", type=float, default=20.0, help="how long (1 to 600; 20)")
+    demo.add_argument("--plain", action="store_true", help="lines instead of a live table")
+    return top
+
+
+def read(path: str) -> Config:
+    """A configuration by its file's ending. Raises ConfigError."""
+    if Path(path).suffix == ".json":
+        return platform.from_table(platform.load_object(path), os.environ)
+    return operatorfile.read(path)
+
+
+def _flags(args: argparse.Namespace) -> Config:
+    """The file's configuration with the flags on top. Raises ConfigError."""
+    if args.config is None:
+        raise ConfigError("serve needs a configuration: its classes say what may run again")
+    config = read(args.config)
+    if args.server and args.discovery:
+        raise ConfigError("--server and --discovery: either one or the other")
+    try:
+        if args.listen is not None:
+            config = replace(config, listen=parse_address(args.listen))
+        if args.server:
+            config = replace(config, known=static_listing(args.server), discovery="")
+        if args.discovery is not None:
+            parse_address(args.discovery)
+            config = replace(config, discovery=args.discovery)
+    except ListError as err:
+        raise ConfigError(str(err)) from None
+    if args.sockets is not None:
+        if not 64 <= args.sockets <= MOST_SOCKETS:
+            raise ConfigError(f"--sockets {args.sockets} is not from 64 to {MOST_SOCKETS}")
+        config = replace(config, sockets=args.sockets)
+    if config.listen == operatorfile.NOWHERE:
+        raise ConfigError("listen is missing: in the file or as --listen ADDRESS:PORT")
+    return replace(config, name=args.name) if args.name else config
+
+
+def _describe(config: Config) -> str:
+    """What a configuration comes to, as JSON on one line."""
+    servers = [f"{host.address}:{host.port}" for host in config.known.hosts]
+    return json.dumps({
+        "name": config.name, "discovery": config.discovery or None, "servers": servers or None,
+        "classes": {c.name: c.effect.value for c in config.settings.classes},
+        "max_open": config.settings.max_open, "sockets": config.sockets})
+
+
+def main(argv: Sequence[str]) -> int:
+    """Carries out one command. Gives its exit code, 2 for a configuration that can't be used."""
+    args = parser().parse_args(argv)
+    try:
+        if args.command == "check":
+            print(f"{args.config}: good {_describe(read(args.config))}")
+            return 0
+        if args.command == "serve":
+            return run(_flags(args), lambda: _flags(args))
+    except ConfigError as err:
+        return complain(err)
+    if not 1 <= args.seconds <= 600:
+        return complain(ConfigError(f"--seconds {args.seconds} is not from 1 to 600"))
+    from minthitch.cli import demo  # needs the repository's stand-ins
+
+    return demo.main(args.seconds, args.plain)
--- a/minthitch/net/node.py
+++ b/minthitch/net/node.py
@@ -57,13 +57,21 @@
         self.listening = True
 
     def reload(self, config: Config) -> None:
-        """Takes the new discovery; all else of a configuration belongs to the process."""
+        """Takes the new discovery, or the new static list; all else belongs to the process."""
         if self.discovery is None or not config.discovery:
-            self.log("configuration read again: no discovery to change, nothing taken")
+            self._relist(config)
             return
         self.log(f"configuration read again: discovery is {config.discovery}")
         self.discovery.move(config.discovery)
 
+    def _relist(self, config: Config) -> None:
+        if self.discovery is not None or config.discovery:
+            self.log("configuration read again: a change between discovery and a static list needs a restart")
+            return
+        self.engine.source = StaticSource(config.known, self.engine.listed)
+        self.engine.listed(config.known, api.ListKind.FULL)
+        self.log(f"configuration read again: {len(config.known.hosts)} servers")
+
     @property
     def port(self) -> int:
         assert self.listener is not None
--- /dev/null
+++ b/minthitch/program.py
@@ -0,0 +1,55 @@
+"""A node as a process: loop, signals, exit code. The platform's start and `serve` both run it."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import signal
+import sys
+from collections.abc import Callable
+
+import uvloop
+
+from minthitch.config import Config, ConfigError
+from minthitch.net.node import Node
+
+
+def complain(err: BaseException) -> int:
+    """One plain line for a configuration that can't be used, and the exit code for it."""
+    print("minthitch:", " ".join(str(err).split()), file=sys.stderr)
+    return 2
+
+
+def reload(node: Node, read: Callable[[], Config]) -> None:
+    """SIGHUP: reads the configuration again; one that can't be used changes nothing."""
+    try:
+        node.reload(read())
+    except ConfigError as err:
+        node.log(f"configuration not taken: {' '.join(str(err).split())}")
+
+
+async def serve(config: Config, read: Callable[[], Config]) -> None:
+    """Runs a node until it has drained. Raises OSError if it can't listen."""
+    node = Node(config)
+    loop = asyncio.get_running_loop()
+    loop.set_exception_handler(lambda _loop, context: node.log(
+        f"{context.get('message')}: {context.get('exception')!r}"))
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, node.drain)
+    loop.add_signal_handler(signal.SIGHUP, reload, node, read)
+    await node.start()
+    gc.collect()
+    gc.freeze()  # what is here now stays; the collector need not walk it
+    await node.finished.wait()
+    await node.stop()
+
+
+def run(config: Config, read: Callable[[], Config]) -> int:
+    """Runs a node in the foreground. Gives the exit code: 0, or 1 if its address can't be bound."""
+    try:
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(serve(config, read))
+    except OSError as err:
+        print(f"minthitch: cannot listen on {config.listen[0]}:{config.listen[1]}: {err}", file=sys.stderr)
+        return 1
+    return 0
--- a/rigs/fronts.py
+++ b/rigs/fronts.py
@@ -6,25 +6,16 @@
 from __future__ import annotations
 
 import asyncio
-import json
-import os
-import signal
-import sys
-import tempfile
 import time
-from collections import deque
-from pathlib import Path
 from typing import Any, Protocol
 
 from minthitch import Client, Refused, Served
 from minthitch.config import from_table
-from rigs.caller import Caller
+from rigs.process import NodeProcess
 from rigs.servers import PATIENCE
 from rigs.tier import Outcome, ScriptedTier
 from rigs.trace import FAILED, LEFT, REFUSED, SERVED, Step
 
-ROOT = Path(__file__).parent.parent
-
 
 class Front(Protocol):
     """What the conformance suite needs of a front."""
@@ -34,8 +25,8 @@
     async def stop(self) -> None: ...
 
 
-def _table(tier: ScriptedTier, settings: dict[str, Any], listen: str) -> dict[str, Any]:
-    return {"name": "front", "listen": listen, "discovery": tier.where, "seed": "5eed",
+def _table(tier: ScriptedTier, settings: dict[str, Any]) -> dict[str, Any]:
+    return {"name": "front", "discovery": tier.where, "seed": "5eed",
             "limits": {"sockets": 1024}, "settings": settings}
 
 
@@ -43,7 +34,7 @@
     """The library, called from this loop."""
 
     async def start(self, tier: ScriptedTier, settings: dict[str, Any]) -> None:
-        self.client = Client(from_table(_table(tier, settings, "127.0.0.1:1"), {}))
+        self.client = Client(from_table({**_table(tier, settings), "listen": "127.0.0.1:1"}, {}))
         await self.client.start()
         await tier.discovery.watches(1)
         async with asyncio.timeout(PATIENCE):
@@ -76,31 +67,8 @@
     """The node as it is run, over kept connections."""
 
     async def start(self, tier: ScriptedTier, settings: dict[str, Any]) -> None:
-        self.folder = tempfile.TemporaryDirectory()
-        path = Path(self.folder.name) / "config.json"
-        probe = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
-        self.port = int(probe.sockets[0].getsockname()[1])
-        probe.close()
-        await probe.wait_closed()
-        path.write_text(json.dumps(_table(tier, settings, f"127.0.0.1:{self.port}")))
-        self.process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "minthitch", cwd=ROOT, env={**os.environ, "BALANCER_CONFIG": str(path)})
-        self.idle: deque[Caller] = deque()
-        async with asyncio.timeout(PATIENCE):
-            while not await self._ready():
-                assert self.process.returncode is None
-                await asyncio.sleep(0.02)
-
-    async def _ready(self) -> bool:
-        try:
-            caller = await self._connect()
-            status, _, _ = await caller.ask(b"GET /ready HTTP/1.1\r\nConnection: close\r\n\r\n")
-        except (OSError, asyncio.IncompleteReadError):
-            return False
-        return status == 200
-
-    async def _connect(self) -> Caller:
-        return Caller(*await asyncio.open_connection("127.0.0.1", self.port))
+        self.node = NodeProcess(_table(tier, settings))
+        await self.node.start()
 
     async def call(self, step: Step) -> Outcome:
         kind = step.kind
@@ -111,26 +79,19 @@
         data = (f"{method} /api HTTP/1.1\r\nHost: app.svc\r\nX-Correlation-Id: {step.identity}\r\n"
                 f"X-Service-Class: {kind.cls}\r\nX-Time-Left: {left * 1000:.0f}m\r\n{key}{length}\r\n"
                 ).encode() + step.body
-        caller = self.idle.pop() if self.idle else await self._connect()
         if kind.outcome == LEFT:
+            caller = await self.node.connect()
             caller.writer.write(data)
             await asyncio.sleep(kind.timeout)
             caller.writer.close()
             return Outcome(LEFT, at=time.monotonic())
-        status, _, body = await caller.ask(data)
+        status, _, body = await self.node.ask(data)
         now = time.monotonic()
-        self.idle.append(caller)
         word = {200: SERVED, 503: REFUSED, 429: REFUSED}.get(status, FAILED)
         return Outcome(word, body if word == SERVED else b"", now)
 
     async def stop(self) -> None:
-        for caller in self.idle:
-            caller.writer.close()
-        self.process.send_signal(signal.SIGTERM)
-        async with asyncio.timeout(PATIENCE):
-            code = await self.process.wait()
-        self.folder.cleanup()
-        assert code == 0
+        assert await self.node.stop() == 0
 
 
 FRONTS: dict[str, type[Embedded] | type[Daemon]] = {"daemon": Daemon, "embedded": Embedded}
--- /dev/null
+++ b/rigs/process.py
@@ -0,0 +1,77 @@
+"""A node as a process on loopback, started as the platform starts it."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import sys
+import tempfile
+from collections import deque
+from pathlib import Path
+from typing import Any
+
+from rigs.caller import Caller
+from rigs.servers import PATIENCE
+
+ROOT = Path(__file__).parent.parent
+
+
+async def free_port() -> int:
+    probe = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
+    port = int(probe.sockets[0].getsockname()[1])
+    probe.close()
+    await probe.wait_closed()
+    return port
+
+
+class NodeProcess:
+    """`python -m minthitch` with a configuration of its own, and kept connections to it."""
+
+    def __init__(self, table: dict[str, Any]) -> None:
+        self.table = table  # without `listen`
+        self.idle: deque[Caller] = deque()
+        self.port = 0
+
+    async def start(self) -> None:
+        """Waits until `/ready` answers 200."""
+        self.port = await free_port()
+        self.folder = tempfile.TemporaryDirectory()
+        path = Path(self.folder.name) / "config.json"
+        path.write_text(json.dumps({**self.table, "listen": f"127.0.0.1:{self.port}"}))
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "minthitch", cwd=ROOT, env={**os.environ, "BALANCER_CONFIG": str(path)})
+        async with asyncio.timeout(PATIENCE):
+            while not await self._ready():
+                if self.process.returncode is not None:
+                    raise RuntimeError(f"the node ended with {self.process.returncode}")
+                await asyncio.sleep(0.02)
+
+    async def _ready(self) -> bool:
+        try:
+            status, _, _ = await (await self.connect()).ask(
+                b"GET /ready HTTP/1.1\r\nConnection: close\r\n\r\n")
+        except (OSError, asyncio.IncompleteReadError):
+            return False
+        return status == 200
+
+    async def connect(self) -> Caller:
+        return Caller(*await asyncio.open_connection("127.0.0.1", self.port))
+
+    async def ask(self, data: bytes) -> tuple[int, bytes, bytes]:
+        """One request on a kept connection, or on a new one."""
+        caller = self.idle.pop() if self.idle else await self.connect()
+        answer = await caller.ask(data)
+        self.idle.append(caller)
+        return answer
+
+    async def stop(self) -> int:
+        """SIGTERM; gives the exit code."""
+        for caller in self.idle:
+            caller.writer.close()
+        self.process.send_signal(signal.SIGTERM)
+        async with asyncio.timeout(PATIENCE):
+            code = await self.process.wait()
+        self.folder.cleanup()
+        return code
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -2,10 +2,10 @@
 # The whole verdict: linter, strict types, tests. Makes its own .venv from the pinned requirements.
 set -e
 cd "$(dirname "$0")/.."
-if ! cat requirements.txt requirements-dev.txt | cmp -s - .venv/installed-dev.txt; then
+if ! cat requirements.txt requirements-demo.txt requirements-dev.txt | cmp -s - .venv/installed-dev.txt; then
     python3 -m venv .venv
     .venv/bin/pip -q install -r requirements-dev.txt
-    cat requirements.txt requirements-dev.txt > .venv/installed-dev.txt
+    cat requirements.txt requirements-demo.txt requirements-dev.txt > .venv/installed-dev.txt
 fi
 .venv/bin/ruff check .
 .venv/bin/mypy
--- /dev/null
+++ b/tests/test_engine.py
@@ -0,0 +1,352 @@
+"""The engine alone: a clock, a carrier and an asker by hand; no sockets and no real time."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from minthitch.engine import (
+    Answer, Attempt, Call, Engine, Failed, Message, Refused, Rejected, Request, Served, Server, StaticSource)
+from minthitch.engine.fields import Reader
+from minthitch.engine.fleet import MOST_NAMES, Fleet
+from minthitch.interface import MILLISECOND, SECOND, Cancel, ListKind, Probe, Settings, Status
+from minthitch.listing import Host, Listing, static_listing
+from tests.rules import KEYED_CELL, SAFE, UNSAFE
+
+MS = MILLISECOND
+CLASSES = (SAFE, KEYED_CELL, UNSAFE)
+
+
+class HandClock:
+    """Time that stands still until it is moved."""
+
+    def __init__(self) -> None:
+        self.time = 10 * SECOND
+        self.timers: list[tuple[int, int, HandTimer]] = []
+        self.count = 0
+
+    def now(self) -> int:
+        return self.time
+
+    def wall(self) -> int:
+        return 1_800_000_000 * SECOND + self.time
+
+    def at(self, when: int, call: Callable[[], None]) -> HandTimer:
+        timer = HandTimer(call)
+        self.count += 1
+        heapq.heappush(self.timers, (when, self.count, timer))
+        return timer
+
+    def move(self, by: int) -> None:
+        end = self.time + by
+        while self.timers and self.timers[0][0] <= end:
+            when, _, timer = heapq.heappop(self.timers)
+            self.time = max(self.time, when)
+            if not timer.cancelled:
+                timer.call()
+        self.time = end
+
+
+class HandTimer:
+    def __init__(self, call: Callable[[], None]) -> None:
+        self.call, self.cancelled = call, False
+
+    def cancel(self) -> None:
+        self.cancelled = True
+
+
+class HandCarrier:
+    """Keeps attempts until the test ends them."""
+
+    def __init__(self) -> None:
+        self.attempts: list[Attempt] = []
+        self.hung_up: list[Server] = []
+        self.dropped = 0
+
+    def start(self, attempt: Attempt) -> None:
+        attempt.carried = self
+        self.attempts.append(attempt)
+
+    def drop(self) -> None:
+        self.dropped += 1
+
+    def hang_up(self, server: Server) -> None:
+        self.hung_up.append(server)
+
+    def close(self) -> None:
+        return None
+
+
+class HandAsker:
+    def __init__(self) -> None:
+        self.heard: list[tuple[Call, Answer]] = []
+
+    def answer(self, call: Call, answer: Answer) -> None:
+        self.heard.append((call, answer))
+
+
+class World:
+    def __init__(self, count: int = 3, **changes: Any) -> None:
+        options = {"max_attempts": 4, "retry_after": True, "max_retry_after": 2 * SECOND, "tier": 1,
+                   "drain_grace": 500 * MS, "max_open": 50, **changes}
+        self.settings = Settings(classes=CLASSES, **options)
+        self.clock, self.carrier, self.asker, self.log = HandClock(), HandCarrier(), HandAsker(), list[str]()
+        self.idle = 0
+        self.engine = Engine(self.settings, 1, self.clock, self.log.append, self._idle)
+        self.engine.carrier = self.carrier
+        self.hosts = [Host(f"s{i}", "127.0.0.1", i + 1, cell=i % 2) for i in range(count)]
+        self.engine.listed(Listing(1, True, tuple(self.hosts)), ListKind.CACHED)
+        self.numbers = iter(range(1, 1 << 30))
+
+    def _idle(self) -> None:
+        self.idle += 1
+
+    def ask(self, cls: int = 2, left: int | None = None, **more: Any) -> Request:
+        identity = more.pop("identity", b"%d" % next(self.numbers))
+        call = Call(identity, cls, Message(b"POST", b"/api"), left=left, **more)
+        return self.engine.admit(self.asker, call)
+
+    def change(self, number: int, state: str = "up", **more: Any) -> None:
+        host = self.hosts[number]
+        given = Host(host.name, host.address, more.get("port", host.port), cell=host.cell, state=state,
+                     born_ms=more.get("born_ms", 0))
+        self.engine.listed(Listing(self.engine.fleet.seq + 1, False, (given,)), ListKind.CHANGES)
+
+    @property
+    def words(self) -> list[str]:
+        return [type(answer).__name__ for _, answer in self.asker.heard]
+
+
+def test_a_good_outcome_is_the_one_answer_and_all_is_forgotten() -> None:
+    w = World()
+    request = w.ask()
+    w.clock.move(20 * MS)
+    w.carrier.attempts[0].end(Status.OK, Served(b"x"))
+    w.carrier.attempts[0].end(Status.RESET)  # told twice: it ended before
+    assert w.asker.heard == [(request.call, Served(b"x"))]
+    assert not w.engine.requests and not w.engine.open and not w.engine.ids
+    w.clock.move(60 * SECOND)
+    assert len(w.asker.heard) == 1
+
+
+def test_an_unsafe_request_that_may_have_run_fails_and_one_that_never_ran_goes_out_again() -> None:
+    w = World()
+    w.ask()
+    w.carrier.attempts[0].end(Status.FULL)
+    assert len(w.carrier.attempts) == 2
+    assert w.carrier.attempts[1].server is not w.carrier.attempts[0].server
+    w.carrier.attempts[1].end(Status.RESET)
+    assert w.words == ["Failed"] and len(w.carrier.attempts) == 2
+
+
+def test_a_request_that_no_server_takes_is_refused_with_when_to_come_back() -> None:
+    w = World(0)
+    w.ask(left=SECOND)
+    w.clock.move(SECOND)
+    assert w.words == ["Refused"]
+    answer = w.asker.heard[0][1]
+    assert isinstance(answer, Refused) and 0 < answer.retry_after <= 2.0
+
+
+def test_the_deadline_ends_attempts_and_answers_once() -> None:
+    w = World()
+    w.ask(left=SECOND)
+    attempt = w.carrier.attempts[0]
+    w.clock.move(SECOND)
+    assert w.words == ["Failed"] and attempt.status is Status.CANCELLED and w.carrier.dropped == 1
+    assert not w.engine.requests
+
+
+def test_time_counts_from_when_the_call_was_heard() -> None:
+    w = World()
+    heard = w.clock.now() - 800 * MS  # it waited behind others, or for a host that stood still
+    request = w.ask(left=SECOND, heard=heard)
+    assert request.deadline == heard + SECOND
+    w.ask(left=SECOND, heard=w.clock.now() - 2 * SECOND)  # over before it came: refused, not sent
+    assert w.words == ["Refused"] and len(w.carrier.attempts) == 1
+
+
+def test_an_asker_that_leaves_hears_nothing_and_its_attempts_are_dropped() -> None:
+    w = World()
+    request = w.ask()
+    w.engine.leave(request)
+    w.engine.leave(request)
+    assert w.carrier.dropped == 1 and not w.asker.heard and not w.engine.requests
+    w.clock.move(10 * SECOND)
+    assert not w.asker.heard
+
+
+def test_an_attempt_is_not_written_past_the_grace_or_for_a_request_that_is_over() -> None:
+    w = World(1)
+    request = w.ask()
+    attempt = w.carrier.attempts[0]
+    assert attempt.may_write()
+    w.change(0, "draining")
+    w.clock.move(499 * MS)
+    assert attempt.may_write()
+    w.clock.move(1 * MS)
+    assert not attempt.may_write()
+    w.change(0)
+    assert attempt.may_write()
+    w.engine.leave(request)
+    assert not attempt.may_write()
+
+
+def test_an_open_id_and_a_full_table_are_rejected_and_nothing_is_kept_of_them() -> None:
+    w = World(max_open=2)
+    w.ask(identity=b"a")
+    with pytest.raises(Rejected) as caught:
+        w.ask(identity=b"a")
+    assert caught.value.status == 409
+    w.ask(identity=b"b")
+    with pytest.raises(Rejected) as caught:
+        w.ask(identity=b"c")
+    assert caught.value.status == 503 and 0 < caught.value.retry_after <= 2 * SECOND
+    assert len(w.engine.open) == len(w.engine.ids) == 2
+
+
+def test_a_full_table_promises_nothing_where_the_settings_allow_no_retry_after() -> None:
+    w = World(max_open=1, retry_after=False)
+    w.ask()
+    with pytest.raises(Rejected) as caught:
+        w.ask()
+    assert caught.value.retry_after == 0
+
+
+def test_a_drain_answers_all_within_its_bound_and_tells_once_idle() -> None:
+    w = World()
+    w.ask()
+    w.ask(left=100 * MS)
+    w.engine.drain(500 * MS)
+    assert not w.idle
+    late = w.ask()
+    assert late.deadline <= w.clock.now() + 500 * MS
+    w.clock.move(499 * MS)
+    w.clock.move(1 * MS)
+    assert len(w.asker.heard) == 3 and set(w.words) <= {"Failed", "Refused"}
+    assert w.idle and not w.engine.open
+    w.engine.drain(SECOND)  # again: the first bound stays
+
+
+def test_a_drain_of_an_idle_engine_tells_at_once() -> None:
+    w = World()
+    w.engine.drain(SECOND)
+    assert w.idle == 1
+
+
+def test_decisions_that_fail_leave_no_asker_unanswered(monkeypatch: pytest.MonkeyPatch) -> None:
+    w = World()
+    real = w.engine.balancer.handle
+
+    def failing(now: int, event: Any) -> Any:
+        if type(event).__name__ == "RequestArrived":
+            raise IndexError("out of range")
+        return real(now, event)
+
+    monkeypatch.setattr(w.engine.balancer, "handle", failing)
+    w.ask()
+    assert w.words == ["Failed"] and "IndexError" in w.log[0]
+
+
+def test_an_asker_that_raises_harms_no_other() -> None:
+    w = World()
+
+    class Bad:
+        def answer(self, call: Call, answer: Answer) -> None:
+            raise RuntimeError("a front's fault")
+
+    w.engine.admit(Bad(), Call(b"bad", 2, Message(b"POST", b"/")))
+    w.ask()
+    for attempt in list(w.carrier.attempts):
+        attempt.end(Status.OK, Served())
+    assert w.words == ["Served"] and "a front's fault" in w.log[0]
+
+
+def test_actions_that_do_not_apply_are_logged_and_harmless() -> None:
+    w = World()
+    w.engine._act(Probe(1))
+    w.engine._act(Cancel(99, 0))
+    assert w.log == ["not carried out: Probe"]
+
+
+def test_a_restart_or_a_new_address_makes_a_new_server_and_hangs_up_the_old() -> None:
+    w = World()
+    old = w.engine.fleet.servers["s0"]
+    w.change(0, port=99)
+    new = w.engine.fleet.servers["s0"]
+    assert new is not old and old.retired and not old.usable and new.number == old.number
+    assert w.carrier.hung_up == [old] and w.engine.fleet.addresses[new.number] is new
+    w.change(0, "removed")
+    assert "s0" not in w.engine.fleet.servers and not new.usable
+    w.change(0, "removed")  # again: nothing is known of it
+
+
+def test_zones_and_kinds_are_bounded() -> None:
+    fleet = Fleet(Settings(classes=CLASSES, zones=("z",)))
+    for i in range(MOST_NAMES + 500):
+        host = Host("s", "127.0.0.1", 1, zone=f"zone{i}", kind=f"kind{i}")
+        entries, _ = fleet.apply(Listing(i, False, (host,)), ListKind.CHANGES, 1, 1)
+        assert entries[0].zone <= MOST_NAMES and entries[0].kind <= MOST_NAMES
+    assert len(fleet.zones) == len(fleet.kinds) == MOST_NAMES
+
+
+def test_a_static_source_gives_its_list_whenever_it_is_asked() -> None:
+    heard: list[tuple[Listing, ListKind]] = []
+    listing = static_listing(["127.0.0.1:1"])
+    source = StaticSource(listing, lambda *given: heard.append(given))
+    source.subscribe()
+    source.refresh()
+    assert heard == [(listing, ListKind.FULL)] * 2
+
+
+def test_fields_tell_tenant_key_cost_and_repeat() -> None:
+    reader = Reader(Settings(classes=CLASSES))
+    fields = {b"x-correlation-id": b"1", b"x-service-class": b"buy", b"x-time-left": b"480m",
+              b"x-session-key": b"u", b"x-weight-hint": b"12.5", b"x-repeat": b"1", b"x-account": b"none"}
+    reader.check(b"POST", fields)
+    call = reader.call(Message(b"POST", b"/"), fields)
+    assert (call.left, call.cost, call.repeat, call.tenant) == (480 * MS, 12_500, True, 0)
+    assert call.key and call.key == reader.call(Message(b"POST", b"/"), fields).key
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_any_order_of_events_gives_each_request_one_answer(seed: int) -> None:
+    """Random arrivals, outcomes, leavers, list changes and time: one answer each, and nothing stays."""
+    rng, w = random.Random(seed), World(4)
+    askers: list[HandAsker] = []
+    left: set[int] = set()
+    requests: list[Request] = []
+    for step in range(400):
+        roll = rng.random()
+        if roll < 0.35:
+            asker = HandAsker()
+            try:
+                requests.append(w.engine.admit(asker, Call(
+                    b"%d" % step, rng.randrange(3), Message(b"POST", b"/"),
+                    left=rng.choice([None, 0, 30 * MS, SECOND]))))
+                askers.append(asker)
+            except Rejected:
+                assert len(w.engine.open) == w.settings.max_open
+        elif roll < 0.75 and w.carrier.attempts:
+            attempt = rng.choice(w.carrier.attempts)
+            status = rng.choice(list(Status))
+            attempt.end(status, Served(b"x") if status is Status.OK else None)
+        elif roll < 0.8 and requests:
+            index = rng.randrange(len(requests))
+            if not requests[index].over:
+                left.add(index)
+            w.engine.leave(requests[index])
+        elif roll < 0.88:
+            w.change(rng.randrange(4), rng.choice(["up", "draining", "removed"]),
+                     born_ms=rng.choice([0, 1_800_000_000_000]))
+        else:
+            w.clock.move(rng.choice([0, MS, 50 * MS, 700 * MS]))
+    w.clock.move(10 * SECOND)
+    for index, asker in enumerate(askers):
+        assert len(asker.heard) == (index not in left), f"seed {seed}, request {index}"
+        assert all(isinstance(answer, (Served, Refused, Failed)) for _, answer in asker.heard)
+    assert not w.engine.open and not w.engine.ids and not w.engine.requests
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -12,7 +12,8 @@
     "minthitch.engine.calls", "minthitch.engine.clock", "minthitch.engine.core", "minthitch.engine.fields",
     "minthitch.engine.fleet", "minthitch.engine.ports", "minthitch.interface", "minthitch.listing",
     "minthitch.log", "minthitch.net", "minthitch.net.callers", "minthitch.net.discovery",
-    "minthitch.net.node", "minthitch.net.servers", "minthitch.policy", "minthitch.settings",
+    "minthitch.net.node", "minthitch.net.servers", "minthitch.policy", "minthitch.program",
+    "minthitch.settings",
 }
 NEVER = ("starlette", "fastapi", "httpx", "rich", "argparse", "sqlite3")
 
