--- a/minthitch/embedded/client.py
+++ b/minthitch/embedded/client.py
@@ -14,7 +14,7 @@
 from minthitch.config import NO_SERVERS, Config, ConfigError
 from minthitch.embedded import exits
 from minthitch.embedded.handover import Handover
-from minthitch.embedded.requests import Headers, Maker, method_for, raw_headers
+from minthitch.embedded.requests import Headers, Maker
 from minthitch.embedded.tickets import LoopTicket, ThreadTicket
 from minthitch.embedded.worker import Worker
 from minthitch.engine import Answer, Call, Refused
@@ -89,11 +89,8 @@
     def _call(self, service_class: str, target: str, body: bytes, headers: Headers, timeout: float | None,
               key: str | None, tenant: str, session: str, cost: float, repeat: bool,
               identity: str | None) -> Call:
-        spec = self._maker.spec(service_class)
-        fields = self._maker.fields(service_class, key, tenant, session, cost, repeat, identity)
-        fields += raw_headers(headers)
-        return self._maker.call(method_for(spec.effect), target.encode("latin-1", "replace"), fields, body,
-                                timeout, time.monotonic_ns())
+        return self._maker.direct(service_class, target, body, headers, timeout, key, tenant, session, cost,
+                                  repeat, identity, time.monotonic_ns())
 
 
 class Client(_Base):
@@ -169,7 +166,6 @@
             self._maker.call(method, target, fields, body, timeout, time.monotonic_ns()))
 
     async def _wait(self, call: Call) -> Answer:
-        self._worker.usable()
         ticket = LoopTicket(call, self._worker, self._mailbox())
         if (full := self._worker.submit(ticket)) is not None:
             return full
--- a/minthitch/embedded/requests.py
+++ b/minthitch/embedded/requests.py
@@ -2,15 +2,19 @@
 
 from __future__ import annotations
 
+import itertools
+import os
 import re
-import uuid
+import secrets
 from collections.abc import Iterable, Mapping
 
 from minthitch import interface as api
 from minthitch.embedded.errors import BadCall
 from minthitch.engine import Call, Message, Rejected
 from minthitch.engine.fields import MOST_BODY, NOT_FORWARDED, Reader
+from minthitch.engine.fields import key as session_key
 
+MOST_SECONDS = 1e6
 MOST_HEAD = 32 * 1024  # bytes of a request in front of its body, as at the daemon
 TOKEN = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
 VALUE = re.compile(rb"[\t\x20-\x7e\x80-\xff]*")
@@ -29,12 +33,21 @@
         raise BadCall(f"headers: {err}") from None
 
 
-def new_identity() -> str:
-    return uuid.uuid4().hex
+_PREFIX = [""]  # of identities; new in each process, or a fork would give the same ones again
+_numbers = itertools.count(1)
+
 
+def _new_prefix() -> None:
+    _PREFIX[0] = secrets.token_hex(8)
 
-def method_for(effect: api.Effect) -> bytes:
-    return b"GET" if effect is api.Effect.SAFE else b"POST"
+
+_new_prefix()
+os.register_at_fork(after_in_child=_new_prefix)
+
+
+def new_identity() -> str:
+    """An id that no other call has: 64 random bits of this process, and a number."""
+    return f"{_PREFIX[0]}{next(_numbers):x}"
 
 
 class Maker:
@@ -42,40 +55,59 @@
 
     def __init__(self, settings: api.Settings, authority: str) -> None:
         self.settings, self.reader = settings, Reader(settings)
-        self.by_name = {spec.name: spec for spec in settings.classes}
+        self.numbers = {spec.name: i for i, spec in enumerate(settings.classes)}
+        self.names = [spec.name.encode() for spec in settings.classes]
         self.authority = authority.encode()
 
-    def fields(self, service_class: str, key: str | None, tenant: str, session: str, cost: float,
-               repeat: bool, identity: str | None) -> list[tuple[bytes, bytes]]:
-        """The fields that name a call. Raises BadCall."""
-        named = [("X-Correlation-Id", identity or new_identity()), ("X-Service-Class", service_class)]
-        named += [(name, value) for name, value in (
-            ("X-Account", tenant), ("X-Session-Key", session), ("Idempotency-Key", key or "")) if value]
+    def direct(self, service_class: str, target: str, body: bytes, headers: Headers, timeout: float | None,
+               key: str | None, tenant: str, session: str, cost: float, repeat: bool,
+               identity: str | None, heard: int) -> Call:
+        """A call from plain arguments, made at `heard` (monotonic ns). Raises BadCall."""
+        if (cls := self.numbers.get(service_class)) is None:
+            raise BadCall(f"unknown class {service_class!r}; known are {', '.join(self.numbers)}")
+        effect = self.settings.classes[cls].effect
+        if bool(key) != (effect is api.Effect.KEYED):
+            raise BadCall(f"Idempotency-Key {key!r} does not fit the {effect.value} class {service_class!r}")
+        if cost and not 0 < cost < MOST_SECONDS:
+            raise BadCall(f"cost {cost!r} is not a number of seconds")
+        if timeout is not None and not 0 < timeout < MOST_SECONDS:
+            raise BadCall(f"timeout {timeout!r} is not a number of seconds above 0")
+        raw = target.encode("latin-1", "replace")
+        self._check(raw, body)
+        name = identity or new_identity()
+        named = [("X-Correlation-Id", identity), ("X-Account", tenant), ("X-Session-Key", session),
+                 ("Idempotency-Key", key)]
+        given = raw_headers([(field, value) for field, value in named if value])
+        if not identity:
+            given.insert(0, (b"X-Correlation-Id", name.encode()))
+        given.append((b"X-Service-Class", self.names[cls]))
         if repeat:
-            named.append(("X-Repeat", "1"))
+            given.append((b"X-Repeat", b"1"))
         if cost:
-            if not 0 < cost < 1e6:
-                raise BadCall(f"cost {cost!r} is not a number of seconds")
-            named.append(("X-Weight-Hint", f"{cost * 1e6:.3f}"))
-        return raw_headers(named)
-
-    def spec(self, service_class: str) -> api.RequestClass:
-        """Raises BadCall for a class that the settings do not know."""
-        spec = self.by_name.get(service_class)
-        if spec is None:
-            raise BadCall(f"unknown class {service_class!r}; known are {', '.join(self.by_name)}")
-        return spec
-
-    def call(self, method: bytes, target: bytes, fields: Iterable[tuple[bytes, bytes]], body: bytes,
-             timeout: float | None, heard: int) -> Call:
-        """A call that the engine can take, made at `heard` (monotonic ns). Raises BadCall."""
+            given.append((b"X-Weight-Hint", b"%.3f" % (cost * 1e6)))
+        if headers:
+            given += raw_headers(headers)
+        table, head = self._head(given)
+        message = Message(b"GET" if effect is api.Effect.SAFE else b"POST", raw, head, body)
+        return Call(name.encode(), cls, message,
+                    left=None if timeout is None else int(timeout * api.SECOND), heard=heard,
+                    tenant=self.reader.tenants.get(tenant.encode(), len(self.reader.tenants)),
+                    key=session_key(table), cost=int(cost * api.SECOND), repeat=repeat)
+
+    @staticmethod
+    def _check(target: bytes, body: bytes) -> None:
         if len(body) > MOST_BODY:
             raise BadCall(f"the body holds {len(body)} bytes, over {MOST_BODY}", 413)
         if not TARGET.fullmatch(target):  # danger: a space or line end would begin another request
             raise BadCall(f"bad target {target[:60]!r}")
+
+    def call(self, method: bytes, target: bytes, fields: Iterable[tuple[bytes, bytes]], body: bytes,
+             timeout: float | None, heard: int) -> Call:
+        """A call that the engine can take, made at `heard` (monotonic ns). Raises BadCall."""
+        self._check(target, body)
         table, head = self._head(fields)
         if timeout is not None:
-            if not 0 < timeout < 1e6:
+            if not 0 < timeout < MOST_SECONDS:
                 raise BadCall(f"timeout {timeout!r} is not a number of seconds above 0")
             table[b"x-time-left"] = f"{timeout * 1e6:.0f}u".encode()
         try:
--- a/minthitch/embedded/worker.py
+++ b/minthitch/embedded/worker.py
@@ -151,7 +151,8 @@
         log = LineLog(lambda text: logger.warning("%s: %s", name, text))
         loop.set_exception_handler(
             lambda _loop, context: log(f"{context.get('message')}: {context.get('exception')!r}"))
-        engine = self.engine = Engine(config.settings, config.seed, LoopClock(loop), log, ended.set)
+        clock = LoopClock(loop)
+        engine = self.engine = Engine(config.settings, config.seed, clock, log, ended.set)
         pool = engine.carrier = Pool(config.settings, config.sockets - RESERVE)
         source = engine.source = self._source(engine)
         engine.listed(config.known, api.ListKind.CACHED)
@@ -164,6 +165,7 @@
         finally:
             await source.close()
             pool.close()
+            clock.close()
 
     def _source(self, engine: Engine) -> Source:
         if self.config.discovery:
--- a/minthitch/engine/clock.py
+++ b/minthitch/engine/clock.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import heapq
 import time
 from collections.abc import Callable
 from typing import Protocol
 
 from minthitch.interface import SECOND
 
+LEAST_DELAY = 0.001  # seconds: the loop's own resolution
+COMPACT_FROM = 1_000  # timers from which cancelled ones are thrown out once they are more than half
+
 
 class Timer(Protocol):
     def cancel(self) -> None: ...
@@ -22,31 +26,32 @@
     def at(self, when: int, call: Callable[[], None]) -> Timer: ...
 
 
-class _LoopTimer:
-    """Follows its call when the loop came early and it was armed again."""
-
-    __slots__ = ("clock", "when", "call", "handle")
-
-    def __init__(self, clock: LoopClock, when: int, call: Callable[[], None]) -> None:
-        self.clock, self.when, self.call = clock, when, call
-        self.handle = clock.loop.call_later(max(when - clock.now(), 0) / SECOND, self._due)
+class _HeapTimer:
+    __slots__ = ("clock", "call")
 
-    def _due(self) -> None:
-        # Danger: the loop rounds to milliseconds; a timer that comes early is ignored, and none follows.
-        if self.clock.now() < self.when:
-            self.handle = self.clock.loop.call_later(0.001, self._due)
-        else:
-            self.call()
+    def __init__(self, clock: LoopClock, call: Callable[[], None]) -> None:
+        self.clock: LoopClock = clock
+        self.call: Callable[[], None] | None = call
 
     def cancel(self) -> None:
-        self.handle.cancel()
+        if self.call is not None:
+            self.call = None  # what it held is free now, though its place in the heap stays for a while
+            self.clock.cancelled += 1
+            self.clock.compact()
 
 
 class LoopClock:
-    """The clock of an asyncio loop."""
+    """The clock of an asyncio loop. All timers share one of the loop's, armed for the earliest.
+
+    A request has three, most of them never due; a heap holds them for a tenth of what the loop's cost.
+    """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         self.loop = loop
+        self.heap: list[tuple[int, int, _HeapTimer]] = []
+        self.count = self.cancelled = 0  # timers made so far; cancelled ones that are in the heap
+        self.handle: asyncio.TimerHandle | None = None
+        self.armed = 0  # for when
 
     def now(self) -> int:
         return time.monotonic_ns()
@@ -55,5 +60,45 @@
         return time.time_ns()
 
     def at(self, when: int, call: Callable[[], None]) -> Timer:
-        """Calls at or after `when`."""
-        return _LoopTimer(self, when, call)
+        """Calls at or after `when`, those for the same time in the order in which they were set."""
+        timer = _HeapTimer(self, call)
+        self.count += 1
+        heapq.heappush(self.heap, (when, self.count, timer))
+        if self.handle is None or when < self.armed:
+            self._arm(when, 0.0)
+        return timer
+
+    def _arm(self, when: int, least: float) -> None:
+        if self.handle is not None:
+            self.handle.cancel()
+        self.armed = when
+        self.handle = self.loop.call_later(max((when - self.now()) / SECOND, least), self._due)
+
+    def _due(self) -> None:
+        self.handle, now = None, self.now()
+        while self.heap and (self.heap[0][0] <= now or self.heap[0][2].call is None):
+            timer = heapq.heappop(self.heap)[2]
+            call, timer.call = timer.call, None
+            if call is None:
+                self.cancelled -= 1
+                continue
+            try:
+                call()
+            except Exception as err:  # danger: one fault would take the other timers with it
+                self.loop.call_exception_handler({"message": "a timer failed", "exception": err})
+        # Danger: the loop rounds to milliseconds; a timer that comes early is ignored, and none follows.
+        if self.heap and (self.handle is None or self.heap[0][0] < self.armed):
+            self._arm(self.heap[0][0], LEAST_DELAY)
+
+    def compact(self) -> None:
+        """Danger: at a high rate the cancelled would fill the memory until they are due."""
+        if len(self.heap) >= COMPACT_FROM and 2 * self.cancelled > len(self.heap):
+            self.heap = [entry for entry in self.heap if entry[2].call is not None]
+            heapq.heapify(self.heap)
+            self.cancelled = 0
+
+    def close(self) -> None:
+        """Nothing more comes due."""
+        if self.handle is not None:
+            self.handle.cancel()
+        self.heap.clear()
