--- a/tests/test_asgi.py
+++ b/tests/test_asgi.py
@@ -6,6 +6,7 @@
 import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from pathlib import Path
 from typing import Any
 
 import fastapi
@@ -26,6 +27,7 @@
 from tests.embedded import Tier, tier
 from tests.test_node import run
 
+ROOT = Path(__file__).parent.parent
 ROUTES = [Route("/search", "safe"), Route("/trips", "keyed"), Route("/trips", "safe"),
           Route("/tickets", "unsafe"), Route("/search/old", "safe", to="/api/v1")]
 
@@ -342,6 +344,28 @@
     run(_fastapi)
 
 
+async def _readme(folder: Path) -> None:
+    text = (ROOT / "README.md").read_text()
+    code = text.split("## Embed it")[1].split("```python\n")[1].split("```")[0]
+    async with tier(serve_ok) as servers:
+        example = (ROOT / "deploy" / "minthitch.toml").read_text()
+        listed = 'servers = ["127.0.0.1:9001", "127.0.0.1:9002"]'
+        path = folder / "minthitch.toml"
+        path.write_text(example.replace(listed, f'servers = ["{servers.addresses[0]}"]'))
+        names: dict[str, Any] = {}
+        exec(code.replace("deploy/minthitch.toml", str(path)), names)
+        async with hosted(names["app"]) as host:
+            w = Web(host, servers, names["client"])
+            assert (await w.ask("GET", "/search?from=Lahore")).content == b"done"
+            assert (await w.ask("POST", "/tickets", b"one")).content == b"done"
+            assert (await w.ask("GET", "/elsewhere")).status_code == 404
+            assert (await w.ask("GET", "/ready")).status_code == 200
+
+
+def test_the_readmes_lines_for_starlette_run(tmp_path: Path) -> None:
+    run(_readme, tmp_path)
+
+
 @pytest.mark.parametrize(("route", "words"), [
     (Route("search", "safe"), "does not begin with /"),
     (Route("/search", "none"), "class 'none' is unknown; known are safe, keyed, unsafe"),
--- a/tests/test_embedded.py
+++ b/tests/test_embedded.py
@@ -24,7 +24,7 @@
 from minthitch.interface import SECOND, Effect
 from minthitch.settings import from_object
 from rigs.servers import OK, PATIENCE, Seen, reply, serve_ok
-from tests.embedded import library, tier
+from tests.embedded import Tier, library, tier
 from tests.net import MS, SETTINGS, settings_with
 from tests.test_node import RACED, run
 
@@ -267,6 +267,44 @@
     run(_race_while_blocked)
 
 
+async def _drain_while_blocked() -> None:
+    """Calls are held as no server is listed; the list comes, with a drain, while the host stands still."""
+    found: list[Tier] = []
+    up, end, tell = threading.Event(), threading.Event(), threading.Event()
+
+    async def servers() -> None:
+        async with tier(serve_ok, serve_ok) as running:
+            hosts, running.discovery.hosts = running.discovery.hosts, []
+            found.append(running)
+            up.set()
+            await asyncio.to_thread(tell.wait)
+            running.discovery.change({**hosts[0], "health": "draining"}, hosts[1])
+            await asyncio.to_thread(end.wait)
+
+    thread = threading.Thread(target=lambda: asyncio.run(servers()))
+    thread.start()
+    await asyncio.to_thread(up.wait)
+    try:
+        async with Client(found[0].config(watch=True)) as client:
+            await until(lambda: bool(found[0].discovery.writers) and client.ready)
+            calls = [asyncio.ensure_future(client.call(cls)) for cls in ("safe", "unsafe", "safe")]
+            await asyncio.sleep(0.05)
+            assert client.held == 3
+            tell.set()
+            time.sleep(1.5)
+            assert client.held == 0
+            assert [type(answer) for answer in await asyncio.gather(*calls)] == [Served] * 3
+            assert not found[0].servers[0].seen and len(found[0].servers[1].seen) == 3
+    finally:
+        tell.set()
+        end.set()
+        await asyncio.to_thread(thread.join)
+
+
+def test_a_list_with_a_drain_is_taken_and_kept_while_the_host_blocks() -> None:
+    run(_drain_while_blocked)
+
+
 async def _one_wake() -> None:
     async with library(serve_ok) as lib:
         worker = lib.client._worker
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -29,7 +29,7 @@
 
 def test_the_readme_example_runs() -> None:
     text = (ROOT / "README.md").read_text()
-    code = text.split("```python\n")[1].split("```")[0]
+    code = text.split("## The module alone")[1].split("```python\n")[1].split("```")[0]
     run = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True)
     assert run.stdout.startswith("send request 1 to server ")
     assert run.stdout.endswith("\n[]\n")
