rigs/asgi_host ends its connections without a logged fault

Need: trying the README as a new user on stock asyncio printed a traceback at the host's end.

Change: the host's own end of a connection is no error. Measured: the same ten lines, no traceback of the host.

--- a/rigs/asgi_host.py
+++ b/rigs/asgi_host.py
@@ -108,8 +108,8 @@
         try:
             while data := await self.reader.read(65_536):
                 self.parser.feed_data(data)
-        except (OSError, httptools.HttpParserError):
-            pass
+        except (OSError, httptools.HttpParserError, asyncio.CancelledError):
+            pass  # the last is the host's own end: streams would log it as a fault
         finally:
             self.inbound.put_nowait({"type": "http.disconnect"})
             await asyncio.gather(*self.tasks, return_exceptions=True)
