Stand-ins and settings written once: rigs/settings.py, one tier on a thread of its own in tests

Need: a read of the whole change found the small tier's settings twice and three copies of a tier on a thread.

Change: rigs/settings.py for tests and traces; one context manager in tests/test_embedded.py. Behaviour and assertions stay.

--- a/rigs/play.py
+++ b/rigs/play.py
@@ -4,33 +4,22 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import Any
 
 from rigs.fronts import Front
+from rigs.settings import MS, settings_with
 from rigs.tier import Outcome, ScriptedTier
 from rigs.trace import Step
 
-MS = 1_000_000
 GRACE = 0.5  # seconds
 COLD_WINDOW = 2.0
 COLD_MULTIPLE = 3.0
 COLD_SHARE = 0.3
 PACE = 0.01  # seconds between calls
 LISTED = 5  # servers at first
-SETTINGS: dict[str, Any] = {
-    "areas": ["z"], "flavors": ["k"], "registryMode": "push", "siblings": 1, "tier": 1, "periodNs": 5 * MS,
-    "classes": [
-        {"name": "safe", "effect": "repeatable", "objectiveNs": 4000 * MS, "deadlineNs": 8000 * MS},
-        {"name": "keyed", "effect": "by_key", "group": "cell", "windowNs": 10000 * MS,
-         "objectiveNs": 4000 * MS, "deadlineNs": 8000 * MS},
-        {"name": "unsafe", "effect": "once", "objectiveNs": 4000 * MS, "deadlineNs": 8000 * MS}],
-    "policyLimits": {"connectTimeoutNs": 2000 * MS, "idleCloseNs": 600_000 * MS, "maxOpen": 400, "sendCap": 4,
-                     "maxRetryAfterNs": 2000 * MS, "mayCancel": True, "mayDuplicate": True,
-                     "retryAfter": True},
-    "rules": {"drainGraceNs": int(GRACE * 1000) * MS, "graceToAnswerNs": 20 * MS, "coldFrom": COLD_SHARE,
-              "coldNs": 9000 * MS, "overloadFactor": COLD_MULTIPLE,
-              "overloadForNs": int(COLD_WINDOW) * 1000 * MS},
-}
+SETTINGS = settings_with(
+    policyLimits={"maxOpen": 400},
+    rules={"drainGraceNs": int(GRACE * 1000) * MS, "coldFrom": COLD_SHARE, "coldNs": 9000 * MS,
+           "overloadFactor": COLD_MULTIPLE, "overloadForNs": int(COLD_WINDOW) * 1000 * MS})
 
 
 def cold_most(rate: float = 1 / PACE) -> float:
--- a/tests/net.py
+++ b/tests/net.py
@@ -15,24 +15,10 @@
 from rigs.caller import Caller, call
 from rigs.discovery import Discovery, entry
 from rigs.servers import OK, PATIENCE, Script, Seen, Server, address_of, reply, reset, serve_ok
+from rigs.settings import MS, SETTINGS, settings_with
 
-__all__ = ["OK", "PATIENCE", "Caller", "Discovery", "Seen", "Server", "address_of", "call", "entry", "reply",
-           "reset", "rig", "serve_ok"]
-
-MS = 1_000_000
-
-SETTINGS: dict[str, Any] = {
-    "areas": ["z"], "flavors": ["k"], "registryMode": "push", "siblings": 1, "tier": 1, "periodNs": 5 * MS,
-    "classes": [
-        {"name": "safe", "effect": "repeatable", "objectiveNs": 4000 * MS, "deadlineNs": 8000 * MS},
-        {"name": "keyed", "effect": "by_key", "group": "cell", "windowNs": 10000 * MS,
-         "objectiveNs": 4000 * MS, "deadlineNs": 8000 * MS},
-        {"name": "unsafe", "effect": "once", "objectiveNs": 4000 * MS, "deadlineNs": 8000 * MS}],
-    "policyLimits": {"connectTimeoutNs": 2000 * MS, "idleCloseNs": 600_000 * MS, "maxOpen": 100, "sendCap": 4,
-                     "maxRetryAfterNs": 2000 * MS, "mayCancel": True, "mayDuplicate": True,
-                     "retryAfter": True},
-    "rules": {"drainGraceNs": 500 * MS, "graceToAnswerNs": 20 * MS},
-}
+__all__ = ["MS", "OK", "PATIENCE", "SETTINGS", "Caller", "Discovery", "Seen", "Server", "address_of", "call",
+           "entry", "reply", "reset", "rig", "serve_ok", "settings_with"]
 
 
 @dataclass
@@ -58,13 +44,6 @@
         return [seen for server in self.servers for seen in server.seen]
 
 
-def settings_with(**parts: Any) -> dict[str, Any]:
-    table = dict(SETTINGS)
-    for name, part in parts.items():
-        table[name] = {**table[name], **part} if isinstance(part, dict) else part
-    return table
-
-
 def config(table: dict[str, Any], address: str, known: list[dict[str, Any]], sockets: int = 1024) -> Config:
     listing = parse_listing({"seq": 7, "whole": True, "hosts": known})
     return Config("test", ("127.0.0.1", 0), address, 1, sockets, listing, from_object(table))
--- a/tests/test_embedded.py
+++ b/tests/test_embedded.py
@@ -9,7 +9,8 @@
 import textwrap
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
 from pathlib import Path
 from typing import Any
 
@@ -22,10 +23,10 @@
 from minthitch.embedded import handover
 from minthitch.embedded.tickets import Ticket
 from minthitch.interface import SECOND, Effect
-from minthitch.settings import from_object
-from rigs.servers import OK, PATIENCE, Seen, reply, serve_ok
+from rigs.discovery import entry
+from rigs.servers import OK, PATIENCE, Script, Seen, reply, serve_ok
 from tests.embedded import Tier, library, tier
-from tests.net import MS, SETTINGS, settings_with
+from tests.net import MS, SETTINGS
 from tests.test_node import RACED, run
 
 ROOT = Path(__file__).parent.parent
@@ -170,56 +171,65 @@
         pass
 
 
-async def _blocked(block: Callable[[float], None]) -> None:
-    addresses: list[str] = []
+@asynccontextmanager
+async def tier_elsewhere(*scripts: Script,
+                         hosts: bool = True) -> AsyncIterator[tuple[Tier, Callable[..., object]]]:
+    """A tier on a loop and thread of its own, as the test's loop will stand still; and a way to run there."""
+    found: list[Tier] = []
     up, end = threading.Event(), threading.Event()
+    loops: list[asyncio.AbstractEventLoop] = []
+
+    async def servers() -> None:
+        async with tier(*scripts) as running:
+            if not hosts:
+                running.discovery.hosts = []
+            found.append(running)
+            loops.append(asyncio.get_running_loop())
+            up.set()
+            await asyncio.to_thread(end.wait)
+
+    thread = threading.Thread(target=lambda: asyncio.run(servers()))
+    thread.start()
+    await asyncio.to_thread(up.wait)
+    try:
+        yield found[0], loops[0].call_soon_threadsafe
+    finally:
+        end.set()
+        await asyncio.to_thread(thread.join)
+
+
+async def _blocked(block: Callable[[float], None]) -> None:
     closed: list[float] = []
-    sends: list[float] = []
 
     async def noted(seen: Seen) -> bytes | None:
-        sends.append(time.monotonic())
         if seen.field("X-Silent"):
             await seen.reader.read()
             closed.append(time.monotonic())
             return b""
         return OK
 
-    async def servers() -> None:  # on a loop of their own: the test's own loop will stand still
-        async with tier(noted, noted, noted) as running:
-            addresses.extend(running.addresses)
-            up.set()
-            await asyncio.to_thread(end.wait)
-
-    thread = threading.Thread(target=lambda: asyncio.run(servers()))
-    thread.start()
-    await asyncio.to_thread(up.wait)
     classes = [{**spec, "deadlineNs": 900 * MS, "objectiveNs": 800 * MS} for spec in SETTINGS["classes"]]
-    settings = from_object(settings_with(classes=classes))
-    try:
-        async with Client(configure(settings, servers=addresses)) as client:
-            worker = client._worker
-            settled: list[float] = []
-            whole = worker.settled
+    async with tier_elsewhere(noted, noted, noted) as (servers, _), Client(
+            servers.config(classes=classes)) as client:
+        worker = client._worker
+        settled: list[float] = []
+        whole = worker.settled
 
-            def noting(ticket: Ticket) -> None:
-                settled.append(time.monotonic())
-                whole(ticket)
+        def noting(ticket: Ticket) -> None:
+            settled.append(time.monotonic())
+            whole(ticket)
 
-            worker.settled = noting  # type: ignore[method-assign]
-            began = time.monotonic()
-            calls = [asyncio.ensure_future(client.call("unsafe", headers={"X-Silent": "1"}))
-                     for _ in range(3)]
-            calls += [asyncio.ensure_future(client.call("safe")) for _ in range(3)]
-            await asyncio.sleep(0.05)
-            block(2.0)
-            assert client.held == 0  # all were settled while the host stood still
-            assert len(settled) == 6 and max(settled) < began + 1.9
-            assert len(closed) == 3 and max(closed) < began + 1.9  # and given up at the servers
-            answers = await asyncio.gather(*calls)
-            assert [type(answer) for answer in answers] == [Failed] * 3 + [Served] * 3
-    finally:
-        end.set()
-        await asyncio.to_thread(thread.join)
+        worker.settled = noting  # type: ignore[method-assign]
+        began = time.monotonic()
+        calls = [asyncio.ensure_future(client.call("unsafe", headers={"X-Silent": "1"})) for _ in range(3)]
+        calls += [asyncio.ensure_future(client.call("safe")) for _ in range(3)]
+        await asyncio.sleep(0.05)
+        block(2.0)
+        assert client.held == 0  # all were settled while the host stood still
+        assert len(settled) == 6 and max(settled) < began + 1.9
+        assert len(closed) == 3 and max(closed) < began + 1.9  # and given up at the servers
+        answers = await asyncio.gather(*calls)
+        assert [type(answer) for answer in answers] == [Failed] * 3 + [Served] * 3
 
 
 @pytest.mark.parametrize("block", [time.sleep, _spin])
@@ -231,36 +241,18 @@
     """The first copy is silent; the race starts and is won while the host's loop stands still."""
     first: list[int] = []
 
-    def pick(number: int) -> bool:
-        first.append(number)
-        return len(first) == 1
-
-    addresses: list[str] = []
-    up, end = threading.Event(), threading.Event()
-
     async def script(seen: Seen) -> bytes | None:
-        return None if pick(seen.connection) else OK
-
-    async def servers() -> None:
-        async with tier(script, script, script) as running:
-            addresses.extend(running.addresses)
-            up.set()
-            await asyncio.to_thread(end.wait)
+        first.append(seen.connection)
+        return None if len(first) == 1 else OK
 
-    thread = threading.Thread(target=lambda: asyncio.run(servers()))
-    thread.start()
-    await asyncio.to_thread(up.wait)
-    try:
-        async with Client(configure(from_object(settings_with(classes=RACED)), servers=addresses)) as client:
-            call = asyncio.ensure_future(client.call("safe", timeout=2.0))
-            await asyncio.sleep(0)
-            await asyncio.sleep(0)
-            time.sleep(1.5)
-            assert client.held == 0 and len(first) > 1
-            assert isinstance(await call, Served)
-    finally:
-        end.set()
-        await asyncio.to_thread(thread.join)
+    async with tier_elsewhere(script, script, script) as (servers, _), Client(
+            servers.config(classes=RACED)) as client:
+        call = asyncio.ensure_future(client.call("safe", timeout=2.0))
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        time.sleep(1.5)
+        assert client.held == 0 and len(first) > 1
+        assert isinstance(await call, Served)
 
 
 def test_a_race_starts_and_ends_while_the_host_blocks() -> None:
@@ -269,36 +261,18 @@
 
 async def _drain_while_blocked() -> None:
     """Calls are held as no server is listed; the list comes, with a drain, while the host stands still."""
-    found: list[Tier] = []
-    up, end, tell = threading.Event(), threading.Event(), threading.Event()
-
-    async def servers() -> None:
-        async with tier(serve_ok, serve_ok) as running:
-            hosts, running.discovery.hosts = running.discovery.hosts, []
-            found.append(running)
-            up.set()
-            await asyncio.to_thread(tell.wait)
-            running.discovery.change({**hosts[0], "health": "draining"}, hosts[1])
-            await asyncio.to_thread(end.wait)
-
-    thread = threading.Thread(target=lambda: asyncio.run(servers()))
-    thread.start()
-    await asyncio.to_thread(up.wait)
-    try:
-        async with Client(found[0].config(watch=True)) as client:
-            await until(lambda: bool(found[0].discovery.writers) and client.ready)
-            calls = [asyncio.ensure_future(client.call(cls)) for cls in ("safe", "unsafe", "safe")]
-            await asyncio.sleep(0.05)
-            assert client.held == 3
-            tell.set()
-            time.sleep(1.5)
-            assert client.held == 0
-            assert [type(answer) for answer in await asyncio.gather(*calls)] == [Served] * 3
-            assert not found[0].servers[0].seen and len(found[0].servers[1].seen) == 3
-    finally:
-        tell.set()
-        end.set()
-        await asyncio.to_thread(thread.join)
+    async with tier_elsewhere(serve_ok, serve_ok, hosts=False) as (servers, there), Client(
+            servers.config(watch=True)) as client:
+        await until(lambda: bool(servers.discovery.writers) and client.ready)
+        calls = [asyncio.ensure_future(client.call(cls)) for cls in ("safe", "unsafe", "safe")]
+        await asyncio.sleep(0.05)
+        assert client.held == 3
+        first, second = (entry(f"s{i}", address) for i, address in enumerate(servers.addresses))
+        there(servers.discovery.change, {**first, "health": "draining"}, second)
+        time.sleep(1.5)
+        assert client.held == 0
+        assert [type(answer) for answer in await asyncio.gather(*calls)] == [Served] * 3
+        assert not servers.servers[0].seen and len(servers.servers[1].seen) == 3
 
 
 def test_a_list_with_a_drain_is_taken_and_kept_while_the_host_blocks() -> None:
