The store of record decided: life of a record, its SQL, SQLite behind it; the engine's keeper port

After a crash we must be able to tell whether a sale ran, and resend nothing that may have run.

The engine gets a port for a keeper that may hold sends and answers up; it is None by default, and not wired yet.

--- a/minthitch/engine/__init__.py
+++ b/minthitch/engine/__init__.py
@@ -10,9 +10,9 @@
 from minthitch.engine.core import Engine, Request
 from minthitch.engine.attempts import Attempt
 from minthitch.engine.fleet import Server
-from minthitch.engine.ports import Asker, Carried, Carrier, Source, StaticSource
+from minthitch.engine.ports import Asker, Carried, Carrier, Keeper, Source, StaticSource
 
 __all__ = [
     "Answer", "Asker", "Attempt", "Call", "Carried", "Carrier", "Clock", "Engine", "Failed", "Fields",
-    "LoopClock", "Message", "Refused", "Rejected", "Request", "Served", "Server", "Source", "StaticSource",
+    "Keeper", "LoopClock", "Message", "Refused", "Rejected", "Request", "Served", "Server", "Source", "StaticSource",
 ]
--- a/minthitch/engine/core.py
+++ b/minthitch/engine/core.py
@@ -15,7 +15,7 @@
 from minthitch.engine.calls import Answer, Call, Failed, Refused, Rejected, Served
 from minthitch.engine.clock import Clock, Timer
 from minthitch.engine.fleet import Fleet, Server
-from minthitch.engine.ports import Asker, Carrier, Source
+from minthitch.engine.ports import Asker, Carrier, Keeper, Source
 from minthitch.listing import Listing
 from minthitch.policy import Balancer
 
@@ -54,10 +54,12 @@
         self.fleet = Fleet(settings)
         self.carrier: Carrier | None = None
         self.source: Source | None = None
+        self.keeper: Keeper | None = None
         self.events: deque[api.Event] = deque()
         self.pumping = False
         self.requests: dict[int, Request] = {}
         self.open: dict[int, Request] = {}  # those that are not answered yet
+        self.untold: dict[int, tuple[Request, Answer]] = {}  # answers that the keeper holds up
         self.ids: set[bytes] = set()  # the ids of the requests that are open
         self.next_request = 1
         self.have_list = False
@@ -135,6 +137,8 @@
         self.next_request += 1
         self.requests[request.number] = self.open[request.number] = request
         self.ids.add(call.identity)
+        if self.keeper is not None:
+            self.keeper.opened(request)
         request.timer = self.clock.at(deadline, lambda: self._out_of_time(request))
         self.post(api.RequestArrived(request.number, call.cls, deadline, call.tenant, call.key, call.cost,
                                      call.repeat))
@@ -143,9 +147,18 @@
     def leave(self, request: Request) -> None:
         """The asker has gone: it hears nothing more, and nothing more is sent."""
         if not request.over:
+            if self.keeper is not None:
+                self.keeper.gone(request)
             self._over(request)
             self.post(api.RequestGone(request.number))
 
+    def conclude(self, request: Request, answer: Answer) -> None:
+        """The keeper's own answer, to a request of which nothing is out."""
+        if not request.over:
+            self._over(request)
+            self._hand_over(request, answer)
+            self.post(api.RequestGone(request.number))
+
     def _out_of_time(self, request: Request) -> None:
         for attempt in request.attempts:
             if attempt is not None:
@@ -175,7 +188,21 @@
     def _answer(self, request: Request, answer: Answer) -> None:
         if request.over:  # danger: a second answer would pass for the next request's
             return
+        if self.keeper is not None and not self.keeper.may_tell(request, answer):
+            self.untold[request.number] = (request, answer)
+            self._over(request)
+            return
         self._over(request)
+        self._hand_over(request, answer)
+
+    def tell(self, number: int) -> None:
+        """Gives the answer that the keeper held up."""
+        held = self.untold.pop(number, None)
+        if held is not None:
+            self._hand_over(*held)
+            self._look_idle()
+
+    def _hand_over(self, request: Request, answer: Answer) -> None:
         try:
             request.asker.answer(request.call, answer)
         except Exception as err:  # danger: a front's fault must not stop the others' answers
@@ -191,7 +218,10 @@
         if request.over and not request.out and request.timer is not None:
             self.requests.pop(request.number, None)
             request.timer.cancel()
-        if self.leaving and not self.open:
+        self._look_idle()
+
+    def _look_idle(self) -> None:
+        if self.leaving and not self.open and not self.untold:
             self.on_idle()
 
     # Attempts -----------------------------------------------------------------------------------
@@ -214,8 +244,18 @@
         if action.timeout > 0:
             attempt.timer = self.clock.at(attempt.started + action.timeout,
                                           lambda: attempt.end(api.Status.TIMEOUT))
-        assert self.carrier is not None
-        self.carrier.start(attempt)
+        if self.keeper is None or self.keeper.may_start(attempt):
+            assert self.carrier is not None
+            self.carrier.start(attempt)
+
+    def release(self, attempt: Attempt) -> None:
+        """Lets a send go that the keeper held up, if it still may."""
+        if attempt.status is not None:
+            return
+        if self.carrier is not None and attempt.may_write():
+            self.carrier.start(attempt)
+        else:
+            attempt.end(api.Status.MOOT)
 
     def may_write(self, request: Request, server: Server) -> bool:
         """Whether bytes of the request may still go to the server, now."""
@@ -228,6 +268,8 @@
         assert attempt.status is not None
         request = attempt.request
         request.out -= 1
+        if self.keeper is not None:
+            self.keeper.over(attempt)
         if attempt.status is api.Status.OK and not request.over:
             self._answer(request, attempt.answer or Served())
         event = api.AttemptEnded(request.number, attempt.index, attempt.server.number, attempt.status,
@@ -261,10 +303,11 @@
         if not self.leaving:
             self.leaving = self.clock.now() + within
             self.clock.at(self.leaving, self.answer_all)
-            if not self.open:
-                self.on_idle()
+            self._look_idle()
 
     def answer_all(self) -> None:
         """Danger: the end of the process would lose what is still open."""
         for request in list(self.open.values()):
             self._out_of_time(request)
+        for number in list(self.untold):
+            self.tell(number)
--- a/minthitch/engine/ports.py
+++ b/minthitch/engine/ports.py
@@ -11,6 +11,7 @@
 if TYPE_CHECKING:
     from minthitch.engine.attempts import Attempt
     from minthitch.engine.calls import Answer, Call
+    from minthitch.engine.core import Request
     from minthitch.engine.fleet import Server
 
 
@@ -37,6 +38,19 @@
     def close(self) -> None: ...
 
 
+class Keeper(Protocol):
+    """Notes what becomes of requests where it must not be forgotten; it may hold sends and answers up.
+
+    What it holds it gives back by `Engine.release`, `Engine.tell` or `Engine.conclude`.
+    """
+
+    def opened(self, request: Request) -> None: ...
+    def may_start(self, attempt: Attempt) -> bool: ...
+    def over(self, attempt: Attempt) -> None: ...
+    def may_tell(self, request: Request, answer: Answer) -> bool: ...
+    def gone(self, request: Request) -> None: ...
+
+
 class Source(Protocol):
     """Where lists come from, besides what it gives unasked."""
 
--- /dev/null
+++ b/tests/test_record_store.py
@@ -0,0 +1,309 @@
+"""The store of record in SQLite, against the model and against what files, locks and disks do."""
+
+from __future__ import annotations
+
+import random
+import resource
+import sqlite3
+import subprocess
+import sys
+import threading
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from minthitch.record.model import (
+    Attempted, Claim, Done, Fenced, Held, Look, Missing, Record, Renew, Settle, State, Word, Write)
+from minthitch.record.sqlite import SqliteStore
+from minthitch.record.store import StoreError
+from rigs.modelstore import ModelStore
+
+LEASE = 60_000
+
+
+@pytest.fixture
+def store(tmp_path: Path) -> Iterator[SqliteStore]:
+    made = SqliteStore(tmp_path / "record.db", busy_for=100)
+    made.open()
+    yield made
+    made.close()
+
+
+def claim(identity: str, epoch: int, digest: bytes = b"d", node: str = "n1") -> Claim:
+    return Claim(identity, "buy", digest, node, epoch, "s1", 1)
+
+
+def settle(identity: str, epoch: int, state: State = State.SERVED, digest: bytes = b"") -> Settle:
+    return Settle(identity, epoch, state, 2, "", digest, b"ticket" if state is State.SERVED else None, b"a/b")
+
+
+def put(store: SqliteStore, *writes: Write) -> list[object]:
+    tokens = iter(range(1 << 30))
+    return list(store.apply(f"t{random.random()}{next(tokens)}", writes))
+
+
+def test_the_life_of_a_record(store: SqliteStore) -> None:
+    epoch = store.begin("n1", LEASE)
+    assert put(store, Look("a")) == [Missing()]
+    assert put(store, claim("a", epoch), Attempted("a", epoch, "s2", 5), settle("a", epoch)) == [Done()] * 3
+    record = store.show("a")
+    assert record == Record("a", "buy", b"d", "n1", epoch, 1, State.SERVED, "s2", 2, 1, 2, "", b"", b"ticket",
+                            b"a/b")
+    assert put(store, claim("a", epoch)) == [Held(record)]  # it has an outcome, and is never begun again
+
+
+def test_an_outcome_is_written_once_and_a_second_is_a_conflict(store: SqliteStore) -> None:
+    epoch = store.begin("n1", LEASE)
+    put(store, claim("a", epoch), settle("a", epoch, digest=b"1"))
+    assert put(store, settle("a", epoch, digest=b"1")) == [Done()]  # the same again: its answer was lost
+    (held,) = put(store, settle("a", epoch, State.FAILED))
+    assert isinstance(held, Held) and held.record.state is State.SERVED
+    assert [line.split(" at ")[0] for line in store.conflicts("a")] == [
+        f"second outcome: failed by epoch {epoch}"]
+
+
+def test_two_nodes_that_claim_one_sale_get_one_holder(tmp_path: Path) -> None:
+    path = tmp_path / "record.db"
+    winners: list[str] = []
+    barrier = threading.Barrier(4)
+    SqliteStore(path).open()
+
+    def node(name: str) -> None:
+        own = SqliteStore(path)
+        own.open()
+        epoch = own.begin(name, LEASE)
+        for i in range(20):
+            barrier.wait()
+            if isinstance(put(own, claim(f"sale{i}", epoch, node=name))[0], Done):
+                winners.append(f"sale{i}")
+        own.close()
+
+    threads = [threading.Thread(target=node, args=(f"n{i}",)) for i in range(4)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    assert sorted(winners) == sorted(f"sale{i}" for i in range(20))
+
+
+def test_a_restart_puts_open_intents_in_doubt_once_and_fences_the_old_process(store: SqliteStore) -> None:
+    old = store.begin("n1", LEASE)
+    put(store, claim("open", old), claim("done", old), settle("done", old))
+    new = store.begin("n1", LEASE)
+    assert new > old
+    assert [r.identity for r in store.doubtful()] == ["open"]
+    assert put(store, settle("open", old), claim("late", old), Attempted("open", old, "s", 1),
+               Renew(old, LEASE)) == [Fenced()] * 4  # the stalled one that wakes
+    assert store.show("late") is None
+    record = store.show("open")
+    assert record is not None and record.state is State.DOUBT and record.epoch == old
+    assert store.conflicts("open")[0].startswith("from a node that was taken over: served")  # its late word
+    (held,) = put(store, claim("open", new))
+    assert isinstance(held, Held) and held.record.state is State.DOUBT  # never sent again
+
+
+def test_only_leases_that_ran_out_are_taken_over_and_each_once(tmp_path: Path, store: SqliteStore) -> None:
+    silent, live = store.begin("n1", 0), store.begin("n2", LEASE)
+    put(store, claim("a", silent), claim("b", live, node="n2"))
+    while not (found := store.take_over()):  # the store's clock is in ms
+        pass
+    assert [r.identity for r in found] == ["a"] and found[0].state is State.DOUBT
+    other = SqliteStore(store.path)
+    other.open()
+    assert other.take_over() == store.take_over() == []
+    other.close()
+    assert put(store, settle("b", live)) == [Done()]
+
+
+def test_a_renewed_lease_is_kept(store: SqliteStore) -> None:
+    epoch = store.begin("n1", 0)
+    assert put(store, Renew(epoch, LEASE), claim("a", epoch)) == [Done(), Done()]
+    assert store.take_over() == []
+
+
+def test_what_never_ran_may_be_begun_again_with_a_new_turn(store: SqliteStore) -> None:
+    epoch = store.begin("n1", LEASE)
+    put(store, claim("a", epoch), settle("a", epoch, State.NEVER_RAN))
+    assert put(store, claim("a", epoch)) == [Done()]
+    record = store.show("a")
+    assert record is not None and (record.turn, record.state, record.attempts) == (2, State.INTENT, 1)
+
+
+def test_an_operators_word_resolves_what_may_have_run_and_only_once(store: SqliteStore) -> None:
+    old = store.begin("n1", LEASE)
+    put(store, claim("a", old), claim("b", old), claim("c", old), settle("c", old))
+    new = store.begin("n1", LEASE)
+    assert store.resolve("a", Word.RAN, "the ledger has it").word is Word.RAN
+    assert store.resolve("b", Word.NEVER_RAN, "the ledger has none").why == "the ledger has none"
+    for identity, text in (("a", "'a' is ran"), ("c", "'c' is served"), ("z", "no record of 'z'")):
+        with pytest.raises(StoreError, match=text):
+            store.resolve(identity, Word.NEVER_RAN, "")
+    assert store.doubtful() == []
+    (held,) = put(store, claim("a", new))
+    assert isinstance(held, Held) and held.record.word is Word.RAN
+    assert put(store, claim("b", new)) == [Done()]
+    record = store.show("a")
+    assert record is not None and record.state is State.DOUBT  # the outcome itself stays as it was
+
+
+def test_a_batch_is_written_whole_or_not_at_all(store: SqliteStore) -> None:
+    epoch = store.begin("n1", LEASE)
+    put(store, claim("a", epoch))
+    with pytest.raises(StoreError):
+        store.apply("t1", [claim("b", epoch), settle("a", epoch), claim(None, epoch)])  # type: ignore[arg-type]
+    assert store.show("b") is None and not store.landed("t1")
+    record = store.show("a")
+    assert record is not None and record.state is State.INTENT
+    store.apply("t2", [claim("b", epoch)])
+    assert store.landed("t2")
+
+
+def test_pruning_leaves_what_is_open_or_in_doubt(store: SqliteStore) -> None:
+    old = store.begin("n1", LEASE)
+    put(store, claim("doubt", old))
+    epoch = store.begin("n1", LEASE)
+    for i in range(10):
+        put(store, claim(f"s{i}", epoch), Settle(f"s{i}", epoch, State.SERVED, 100 + i))
+    put(store, claim("open", epoch), claim("failed", epoch), settle("failed", epoch, State.FAILED))
+    assert store.prune(103, 1_000) == 3
+    assert store.prune(0, 6) == 4
+    assert {r.identity for r in store.export()} == {"doubt", "open", "failed", "s7", "s8", "s9"}
+    assert store.prune(1 << 60, 0) == 3
+    assert {r.identity for r in store.export()} == {"doubt", "open", "failed"}
+
+
+def test_an_export_goes_through_all_pages(store: SqliteStore) -> None:
+    epoch = store.begin("n1", LEASE)
+    put(store, *(claim(f"i{i:05}", epoch) for i in range(1_201)))
+    assert [r.identity for r in store.export()] == [f"i{i:05}" for i in range(1_201)]
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_sqlite_and_the_model_agree_on_random_writes(store: SqliteStore, seed: int) -> None:
+    rng, model = random.Random(seed), ModelStore()
+    epochs = {"n1": (store.begin("n1", LEASE), model.begin("n1", LEASE)),
+              "n2": (store.begin("n2", LEASE), model.begin("n2", LEASE))}
+    pairs = list(epochs.values())  # old ones too: stalled processes go on writing
+    for step in range(150):
+        if rng.random() < 0.05:
+            name = rng.choice(["n1", "n2"])
+            epochs[name] = (store.begin(name, LEASE), model.begin(name, LEASE))
+            pairs.append(epochs[name])
+        mine, theirs = rng.choice(pairs)
+        identity, state = f"i{rng.randrange(12)}", rng.choice(
+            [State.SERVED, State.FAILED, State.NEVER_RAN, State.NEVER_RAN])
+        roll, digest = rng.random(), bytes([rng.randrange(3)])
+
+        if rng.random() < 0.05:
+            word = rng.choice(list(Word))
+            resolved = model.resolve(identity, word, "w")
+            try:
+                store.resolve(identity, word, "w")
+                assert resolved
+            except StoreError:
+                assert not resolved
+        writes: list[Write] = []
+        for epoch in (mine, theirs):
+            writes.append(
+                claim(identity, epoch) if roll < 0.4 else Attempted(identity, epoch, "s2", step) if roll < 0.5
+                else Look(identity) if roll < 0.6 else settle(identity, epoch, state, digest))
+        (one,), (two,) = put(store, writes[0]), model.apply(writes[1:])
+        assert type(one) is type(two), f"seed {seed}, step {step}"
+    assert mine == theirs
+    facts = [{(r.identity, r.state, r.turn, r.attempts, r.word, r.epoch, r.answer_digest) for r in records}
+             for records in (store.export(), model.records.values())]
+    assert facts[0] == facts[1]
+    assert sum(len(store.conflicts(f"i{i}")) for i in range(12)) == len(model.conflicts)
+
+
+# Files, locks, disks ----------------------------------------------------------------------------
+
+
+def test_a_file_that_is_damaged_is_one_clear_error(tmp_path: Path) -> None:
+    path = tmp_path / "record.db"
+    path.write_bytes(b"no database at all" * 100)
+    with pytest.raises(StoreError, match=r"record\.db: file is not a database"):
+        SqliteStore(path).open()
+    good = SqliteStore(tmp_path / "good.db")
+    good.open()
+    epoch = good.begin("n1", LEASE)
+    put(good, *(claim(f"i{i}", epoch) for i in range(2_000)))
+    good.close()
+    data = bytearray((tmp_path / "good.db").read_bytes())
+    data[4096 * 3:4096 * 6] = b"\xff" * 4096 * 3
+    (tmp_path / "good.db").write_bytes(data)
+    with pytest.raises(StoreError, match=r"good\.db: .*(damaged|malformed)"):
+        SqliteStore(tmp_path / "good.db").open()
+
+
+def test_a_path_that_cannot_be_used_is_one_clear_error(tmp_path: Path) -> None:
+    for path in (tmp_path / "none" / "record.db", tmp_path):
+        with pytest.raises(StoreError, match="unable to open"):
+            SqliteStore(path).open()
+
+
+def test_a_schema_newer_than_the_program_is_one_clear_error(store: SqliteStore) -> None:
+    store.set_version(99)
+    with pytest.raises(StoreError, match="version 99 of the store is newer"):
+        SqliteStore(store.path).open()
+
+
+def test_a_lock_of_another_process_is_an_error_in_time_and_passes(store: SqliteStore) -> None:
+    epoch = store.begin("n1", LEASE)
+    other = sqlite3.connect(store.path, isolation_level=None)
+    other.execute("BEGIN IMMEDIATE")
+    with pytest.raises(StoreError, match="locked"):
+        put(store, claim("a", epoch))
+    other.execute("ROLLBACK")
+    other.close()
+    assert put(store, claim("a", epoch)) == [Done()]
+
+
+def test_a_full_disk_fails_the_batch_and_harms_nothing_before_it(tmp_path: Path) -> None:
+    """A limit on the size of files stands in for the disk, in a process of its own."""
+    code = f"""
+import resource, signal, sys
+sys.path.insert(0, {str(Path(__file__).parent.parent)!r})
+from tests.test_record_store import *
+signal.signal(signal.SIGXFSZ, signal.SIG_IGN)
+store = SqliteStore({str(tmp_path / "record.db")!r})
+store.open()
+epoch = store.begin("n1", LEASE)
+assert put(store, claim("before", epoch)) == [Done()]
+resource.setrlimit(resource.RLIMIT_FSIZE, (200_000, resource.RLIM_INFINITY))
+failed = 0
+for i in range(20):
+    try:
+        put(store, *(claim("x" * 500 + str(i) + "-" + str(j), epoch) for j in range(50)))
+    except StoreError as err:
+        failed += 1
+assert failed, "the limit was never reached"
+resource.setrlimit(resource.RLIMIT_FSIZE, (resource.RLIM_INFINITY, resource.RLIM_INFINITY))
+again = SqliteStore({str(tmp_path / "record.db")!r})
+again.open()
+count = sum(1 for _ in again.export())
+assert count % 50 == 1, count
+assert put(again, settle("before", epoch), claim("after", epoch)) == [Done(), Done()]
+print("whole")
+"""
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, timeout=60)
+    assert done.stdout == "whole\n", done.stderr
+    assert resource.getrlimit(resource.RLIMIT_FSIZE)
+
+
+def test_a_second_process_on_the_file_shares_it(store: SqliteStore) -> None:
+    epoch = store.begin("n1", LEASE)
+    put(store, claim("a", epoch))
+    code = f"""
+import sys
+sys.path.insert(0, {str(Path(__file__).parent.parent)!r})
+from tests.test_record_store import *
+other = SqliteStore({store.path!r})
+other.open()
+epoch = other.begin("n2", LEASE)
+print([type(result).__name__ for result in put(other, claim("a", epoch), claim("b", epoch))])
+"""
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, timeout=60)
+    assert done.stdout == "['Held', 'Done']\n", done.stderr
+    assert put(store, settle("a", epoch)) == [Done()]
