--- a/minthitch/engine/__init__.py
+++ b/minthitch/engine/__init__.py
@@ -13,6 +13,7 @@
 from minthitch.engine.ports import Asker, Carried, Carrier, Keeper, Source, StaticSource
 
 __all__ = [
-    "Answer", "Asker", "Attempt", "Call", "Carried", "Carrier", "Clock", "Engine", "Failed", "Fields", "Keeper",
-    "LoopClock", "Message", "Refused", "Rejected", "Request", "Served", "Server", "Source", "StaticSource",
+    "Answer", "Asker", "Attempt", "Call", "Carried", "Carrier", "Clock", "Engine", "Failed", "Fields",
+    "Keeper", "LoopClock", "Message", "Refused", "Rejected", "Request", "Served", "Server", "Source",
+    "StaticSource",
 ]
