A store of record in node and library: the operator file's [record], the operator's commands, conformance with it on

The keeper was not to be had by any user.

Change: [record] names the store, the field that identifies a sale, and the classes that need a durable intent or make do without. `serve` and the library attach it; what is off is not imported. `record show|doubtful|resolve|export` on the store's file. The conformance suite plays daemon and library with a record beside those without.

--- a/minthitch/cli/commands.py
+++ b/minthitch/cli/commands.py
@@ -11,6 +11,7 @@
 
 from minthitch import config as platform
 from minthitch import operatorfile
+from minthitch.cli import record
 from minthitch.config import MOST_SOCKETS, Config, ConfigError
 from minthitch.listing import ListError, parse_address, static_listing
 from minthitch.program import complain, run
@@ -34,13 +35,16 @@
     demo = commands.add_parser("demo", help="stand-in servers, discovery, a node and traffic on loopback")
     demo.add_argument("--seconds", type=float, default=20.0, help="how long (1 to 600; 20)")
     demo.add_argument("--plain", action="store_true", help="lines instead of a live table")
+    record.add_to(commands)
     return top
 
 
 def read(path: str) -> Config:
     """A configuration by its file's ending. Raises ConfigError."""
     if Path(path).suffix == ".json":
-        return platform.from_table(platform.load_object(path), os.environ)
+        table = platform.load_object(path)
+        config = platform.from_table(table, os.environ)
+        return replace(config, record=operatorfile.record_config(table, config.settings))
     return operatorfile.read(path)
 
 
@@ -86,6 +90,8 @@
         if args.command == "check":
             print(f"{args.config}: good {_describe(read(args.config))}")
             return 0
+        if args.command == "record":
+            return record.main(args)
         if args.command == "serve":
             return run(_flags(args), lambda: _flags(args))
     except ConfigError as err:
--- /dev/null
+++ b/minthitch/cli/record.py
@@ -0,0 +1,100 @@
+"""`record`: what an operator asks of the store of record, and tells it."""
+
+from __future__ import annotations
+
+import argparse
+import base64
+import json
+import os
+import sys
+from collections.abc import Callable
+from datetime import UTC, datetime
+from typing import Any
+
+from minthitch.config import ConfigError
+from minthitch.record.model import Record, Word
+from minthitch.record.sqlite import SqliteStore
+from minthitch.record.store import Store, StoreError
+
+
+def add_to(commands: Any) -> None:
+    """The command's arguments, beside the others'."""
+    record = commands.add_parser("record", help="look into the store of record, and resolve what is in doubt")
+    record.add_argument("--store", required=True, metavar="PATH", help="the store's file, as in record.store")
+    words = record.add_subparsers(dest="word", required=True)
+    show = words.add_parser("show", help="what is known of one sale, as JSON; exit code 1 if nothing is")
+    show.add_argument("identity")
+    words.add_parser("doubtful", help="what may have run and has no word yet, a line each")
+    resolve = words.add_parser("resolve", help="note what was found out of a sale in doubt or failed")
+    resolve.add_argument("identity")
+    resolve.add_argument("found", choices=[word.value for word in Word])
+    resolve.add_argument("--why", required=True, help="how it is known")
+    words.add_parser("export", help="every record, as JSON lines")
+
+
+def as_json(record: Record, conflicts: list[str] | None = None) -> dict[str, Any]:
+    """A record for people and programs."""
+    def time(ms: int) -> str | None:
+        return datetime.fromtimestamp(ms / 1000, UTC).isoformat(timespec="milliseconds") if ms else None
+
+    shown: dict[str, Any] = {
+        "identity": record.identity, "class": record.cls, "state": record.state.value,
+        "word": record.word.value if record.word else None, "why": record.why or None,
+        "reason": record.reason or None, "node": record.node, "epoch": record.epoch, "turn": record.turn,
+        "server": record.server, "attempts": record.attempts, "made": time(record.made_at),
+        "ended": time(record.ended_at), "request_digest": record.digest.hex(),
+        "answer_digest": record.answer_digest.hex() or None,
+        "answer": None if record.answer is None else base64.b64encode(record.answer).decode(),
+        "content_type": record.content_type.decode("latin-1") or None}
+    if conflicts:
+        shown["conflicts"] = conflicts
+    return shown
+
+
+def _show(store: Store, args: argparse.Namespace) -> int:
+    record = store.show(args.identity)
+    if record is None:
+        print(f"minthitch: no record of {args.identity!r}", file=sys.stderr)
+        return 1
+    print(json.dumps(as_json(record, store.conflicts(args.identity)), indent=2))
+    return 0
+
+
+def _doubtful(store: Store, args: argparse.Namespace) -> int:
+    for record in store.doubtful():
+        shown = as_json(record)
+        print(f"{record.identity}  {record.state.value}  {shown['made']}  {record.cls}  {record.node}  "
+              f"{record.server}  {record.reason}")
+    return 0
+
+
+def _resolve(store: Store, args: argparse.Namespace) -> int:
+    record = store.resolve(args.identity, Word(args.found), args.why)
+    print(f"{record.identity} is noted as {args.found}")
+    return 0
+
+
+def _export(store: Store, args: argparse.Namespace) -> int:
+    for record in store.export():
+        print(json.dumps(as_json(record)))
+    return 0
+
+
+DO: dict[str, Callable[[Store, argparse.Namespace], int]] = {
+    "show": _show, "doubtful": _doubtful, "resolve": _resolve, "export": _export}
+
+
+def main(args: argparse.Namespace) -> int:
+    """Carries out one of the words. Exit code 1 where there is nothing to it. Raises ConfigError."""
+    if not os.path.exists(args.store):  # danger: opening would make an empty one, and say that nothing is known
+        raise ConfigError(f"--store {args.store!r}: no such file")
+    store = SqliteStore(args.store)
+    try:
+        store.open()
+        return DO[args.word](store, args)
+    except StoreError as err:
+        raise ConfigError(str(err)) from None
+    except BrokenPipeError:
+        return 0
+    finally:
+        store.close()
--- a/minthitch/config.py
+++ b/minthitch/config.py
@@ -20,6 +20,22 @@
     """A configuration that can't be used; the text is one plain line."""
 
 
+@dataclass(frozen=True, slots=True)
+class RecordConfig:
+    """The store of record, where one is wanted. Times in ns."""
+
+    store: str  # a file's path
+    identity: str  # the field that names a sale
+    required: frozenset[str]  # classes that are not sent without a durable intent
+    best_effort: frozenset[str]  # classes that are sent all the same
+    intent_within: int = 250 * api.MILLISECOND
+    answer_within: int = 250 * api.MILLISECOND
+    lease: int = 10 * api.SECOND
+    keep_answer: int = 16 * 1024  # bytes
+    keep_for: int = 30 * 86_400 * api.SECOND
+    keep_most: int = 1_000_000  # records
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     """What a node is told. `discovery` is "" where the list is `known` and stays so."""
@@ -31,6 +47,7 @@
     sockets: int
     known: Listing
     settings: api.Settings
+    record: RecordConfig | None = None
 
 
 def _text(table: Mapping[str, Any], name: str, environ: Mapping[str, str]) -> str:
--- a/minthitch/embedded/worker.py
+++ b/minthitch/embedded/worker.py
@@ -155,6 +155,11 @@
         engine = self.engine = Engine(config.settings, config.seed, clock, log, ended.set)
         pool = engine.carrier = Pool(config.settings, config.sockets - RESERVE)
         source = engine.source = self._source(engine)
+        recording = None
+        if config.record is not None:
+            from minthitch.record.attach import Recording  # not loaded where it is off
+
+            recording = Recording(engine, config.record, config.name, log)
         engine.listed(config.known, api.ListKind.CACHED)
         if isinstance(source, Discovery):
             source.start()
@@ -163,6 +168,8 @@
         try:
             await ended.wait()
         finally:
+            if recording is not None:
+                await recording.close()
             await source.close()
             pool.close()
             clock.close()
--- a/minthitch/operatorfile.py
+++ b/minthitch/operatorfile.py
@@ -13,15 +13,18 @@
 from typing import Any
 
 from minthitch import interface as api
-from minthitch.config import MOST_SOCKETS, NO_SERVERS, Config, ConfigError
+from minthitch.config import MOST_SOCKETS, NO_SERVERS, Config, ConfigError, RecordConfig
 from minthitch.listing import ListError, parse_address, static_listing
 
-UNITS = {"ms": api.MILLISECOND, "s": api.SECOND, "m": 60 * api.SECOND}
-DURATION = re.compile(r"(\d{1,9}(?:\.\d{1,6})?)(ms|s|m)")
+UNITS = {"ms": api.MILLISECOND, "s": api.SECOND, "m": 60 * api.SECOND, "h": 3_600 * api.SECOND,
+         "d": 86_400 * api.SECOND}
+DURATION = re.compile(r"(\d{1,9}(?:\.\d{1,6})?)(ms|s|m|h|d)")
 NOWHERE = ("127.0.0.1", 0)  # where a library listens: it does not
 CLASS_KEYS = frozenset(("name", "effect", "aim", "deadline", "group", "window", "worth", "late_worth"))
 TOP_KEYS = frozenset(("name", "listen", "servers", "discovery", "seed", "sockets", "classes", "limits",
-                      "rules"))
+                      "rules", "record"))
+RECORD_KEYS = frozenset(("store", "identity", "required", "best_effort", "intent_within", "answer_within",
+                         "lease", "keep_answer", "keep_for", "keep_most"))
 LIMIT_KEYS = frozenset(("max_open", "max_attempts", "retry_after", "max_retry_after", "connect_timeout",
                         "idle_close", "siblings", "may_duplicate"))
 RULE_KEYS = frozenset(("drain_grace", "answer_slack", "cold_share", "cold_time", "cold_multiple",
@@ -32,9 +35,11 @@
 DEFAULT_RULES: dict[str, Any] = {
     "answer_slack": 20 * api.MILLISECOND, "drain_grace": 500 * api.MILLISECOND}
 TIMES = frozenset(("aim", "deadline", "window", "max_retry_after", "connect_timeout", "idle_close",
-                   "drain_grace", "answer_slack", "cold_time", "cold_window", "budget_window"))
+                   "drain_grace", "answer_slack", "cold_time", "cold_window", "budget_window",
+                   "intent_within", "answer_within", "lease", "keep_for"))
 FLAGS = frozenset(("retry_after", "may_duplicate"))
-WHOLE = frozenset(("max_open", "max_attempts", "siblings"))
+WHOLE = frozenset(("max_open", "max_attempts", "siblings", "keep_answer", "keep_most"))
+FIELD_NAME = re.compile(r"[A-Za-z0-9-]{1,64}")
 
 
 def duration(value: object, where: str) -> int:
@@ -117,6 +122,42 @@
         raise ConfigError(str(err)) from None
 
 
+def _names(table: Mapping[str, Any], key: str, known: list[str]) -> frozenset[str]:
+    names = table.get(key, [])
+    if not isinstance(names, list) or not all(isinstance(name, str) for name in names):
+        raise ConfigError(f"record.{key} = {names!r} is not a list of classes")
+    for name in names:
+        if name not in known:
+            raise ConfigError(f"record.{key}: class {name!r} is unknown; known are {', '.join(known)}")
+    return frozenset(names)
+
+
+def record_config(top: Mapping[str, Any], settings: api.Settings) -> RecordConfig | None:
+    """The `record` table; None where there is none. Raises ConfigError."""
+    table = top.get("record")
+    if table is None:
+        return None
+    if not isinstance(table, dict):
+        raise ConfigError(f"record = {table!r} is not a table")
+    _known(table, RECORD_KEYS, "record.")
+    store, identity = table.get("store"), table.get("identity", "Idempotency-Key")
+    if not isinstance(store, str) or not store or "://" in store:
+        raise ConfigError(f"record.store = {store!r} is not the path of a file")
+    if not isinstance(identity, str) or not FIELD_NAME.fullmatch(identity):
+        raise ConfigError(f"record.identity = {identity!r} is not the name of a field")
+    known = [spec.name for spec in settings.classes]
+    required, best = _names(table, "required", known), _names(table, "best_effort", known)
+    if not required | best or required & best:
+        raise ConfigError(f"record: each class in one of required = {sorted(required)} and "
+                          f"best_effort = {sorted(best)}, and one class at least")
+    rest = {key: _value(key, value, f"record.{key}") for key, value in table.items()
+            if key in TIMES | WHOLE}
+    for key, value in rest.items():
+        if value <= 0:
+            raise ConfigError(f"record.{key} = {table[key]!r} is not above 0")
+    return RecordConfig(store, identity, required, best, **rest)
+
+
 def _address(value: object, where: str) -> tuple[str, int]:
     try:
         return parse_address(value)
@@ -157,8 +198,10 @@
     except ListError as err:
         raise ConfigError(f"servers = {servers!r}: {err}") from None
     listen = _address(top["listen"], "listen") if "listen" in top else NOWHERE
+    settings = _settings(top)
     return Config(name, listen, discovery, _seed(top.get("seed", "0")),
-                  _sockets(top.get("sockets", MOST_SOCKETS)), known, _settings(top))
+                  _sockets(top.get("sockets", MOST_SOCKETS)), known, settings,
+                  record_config(top, settings))
 
 
 def read(path: str | os.PathLike[str]) -> Config:
--- a/minthitch/program.py
+++ b/minthitch/program.py
@@ -29,8 +29,13 @@
 
 
 async def serve(config: Config, read: Callable[[], Config]) -> None:
-    """Runs a node until it has drained. Raises OSError if it can't listen."""
+    """Runs a node until it has drained. Raises OSError if it can't listen, ConfigError for its store."""
     node = Node(config)
+    recording = None
+    if config.record is not None:
+        from minthitch.record.attach import Recording  # not loaded where it is off
+
+        recording = Recording(node.engine, config.record, config.name, node.log)
     loop = asyncio.get_running_loop()
     loop.set_exception_handler(lambda _loop, context: node.log(
         f"{context.get('message')}: {context.get('exception')!r}"))
@@ -41,6 +46,8 @@
     gc.collect()
     gc.freeze()  # what is here now stays; the collector need not walk it
     await node.finished.wait()
+    if recording is not None:
+        await recording.close()
     await node.stop()
 
 
@@ -49,6 +56,8 @@
     try:
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
             runner.run(serve(config, read))
+    except ConfigError as err:
+        return complain(err)
     except OSError as err:
         print(f"minthitch: cannot listen on {config.listen[0]}:{config.listen[1]}: {err}", file=sys.stderr)
         return 1
--- a/minthitch/record/writer.py
+++ b/minthitch/record/writer.py
@@ -8,6 +8,7 @@
 
 import secrets
 import threading
+import time
 from collections import deque
 from collections.abc import Callable
 
@@ -17,6 +18,7 @@
 MOST_BATCH = 256  # writes in one transaction
 MOST_WAITING = 20_000  # writes that wait; more are told that the store is too slow
 RETRY_LEAST, RETRY_MOST = 0.05, 2.0  # seconds between two tries to reach a store that is away
+CHORE_EVERY = 5.0  # seconds
 Results = list[tuple[int, Result]]
 
 
@@ -24,8 +26,10 @@
     """One store, one thread. `deliver` and `back` are called on that thread."""
 
     def __init__(self, make: Callable[[], Store], deliver: Callable[[Results], object],
-                 back: Callable[[], object], log: Callable[[str], None] = lambda text: None) -> None:
-        self.make, self.deliver, self.back, self.log = make, deliver, back, log
+                 back: Callable[[], object], log: Callable[[str], None] = lambda text: None,
+                 chore: Callable[[Store], None] = lambda store: None) -> None:
+        """`chore` is done on the writer's thread every CHORE_EVERY s, between batches."""
+        self.make, self.deliver, self.back, self.log, self.chore = make, deliver, back, log, chore
         self.lock = threading.Condition()
         self.waiting: deque[tuple[int, Write]] = deque()
         self.stopping = False
@@ -80,17 +84,27 @@
             return
         finally:
             self.up.set()
-        while (batch := self._next()) is not None:
+        due = time.monotonic()
+        while (batch := self._next(due)) is not None:
             if batch:
                 self._write(batch)
+            if time.monotonic() >= due:
+                self._do_chore()
+                due = time.monotonic() + CHORE_EVERY
         self._drop()
 
-    def _next(self) -> list[tuple[int, Write]] | None:
-        """What waits, at most MOST_BATCH; None at the end."""
+    def _do_chore(self) -> None:
+        assert self.store is not None
+        try:
+            self.chore(self.store)
+        except StoreError as err:
+            self._gone(str(err), [], None)
+
+    def _next(self, due: float) -> list[tuple[int, Write]] | None:
+        """What waits, at most MOST_BATCH; nothing when the chore is due; None at the end."""
         with self.lock:
-            while not self.waiting and not self.stopping:
-                self.lock.wait()
-            if not self.waiting:
+            self.lock.wait_for(lambda: bool(self.waiting) or self.stopping, max(due - time.monotonic(), 0.0))
+            if self.stopping and not self.waiting:
                 return None
             return [self.waiting.popleft() for _ in range(min(len(self.waiting), MOST_BATCH))]
 
--- /dev/null
+++ b/rigs/doomed.py
@@ -0,0 +1,127 @@
+"""A node with a record that kills itself at a named point: `python -m rigs.doomed CONFIG POINT NTH [MUTANT]`.
+
+SIGKILL, as a crash is: nothing is closed, flushed or told. A mutant leaves one rule of the record out, so that a
+run can show that it would see the breach.
+"""
+
+from __future__ import annotations
+
+import os
+import signal
+import sys
+from collections.abc import Callable, Sequence
+from typing import Any
+
+from minthitch.cli.commands import read
+from minthitch.engine import Engine
+from minthitch.net.servers import Connection, Pool
+from minthitch.program import run
+from minthitch.record import attach
+from minthitch.record.keeper import RecordKeeper
+from minthitch.record.life import Life, Release, SendWanted
+from minthitch.record.model import Claim, Record, Settle, State, Write
+from minthitch.record.sqlite import SqliteStore
+
+POINTS = ("before-intent", "after-intent", "before-send", "after-send", "after-answer", "before-outcome",
+          "after-outcome", "after-tell")
+
+
+class Doom:
+    """Counts how often the point was passed, and kills at the nth."""
+
+    def __init__(self, point: str, nth: int) -> None:
+        self.point, self.left = point, nth
+
+    def at(self, point: str) -> None:
+        if point == self.point:
+            self.left -= 1
+            if self.left <= 0:
+                os.kill(os.getpid(), signal.SIGKILL)
+
+
+def _around(owner: type, name: str, before: Callable[..., None] | None,
+            after: Callable[..., None] | None) -> None:
+    inner = getattr(owner, name)
+
+    def outer(self: Any, *args: Any, **more: Any) -> Any:
+        if before is not None:
+            before(self, *args)
+        result = inner(self, *args, **more)
+        if after is not None:
+            after(self, *args)
+        return result
+
+    setattr(owner, name, outer)
+
+
+def doom(point: str, nth: int) -> None:
+    """Puts the kill in its place."""
+    fate = Doom(point, nth)
+
+    def batch(when: str) -> Callable[..., None]:
+        def look(store: Any, token: str, writes: Sequence[Write]) -> None:
+            for write in writes:
+                if isinstance(write, Claim):
+                    fate.at(f"{when}-intent")
+                elif isinstance(write, Settle):
+                    fate.at(f"{when}-outcome")
+        return look
+
+    _around(SqliteStore, "apply", batch("before"), batch("after"))
+    _around(Pool, "start", lambda pool, attempt: fate.at("before-send"), None)
+    _around(Connection, "send", None, lambda connection, attempt: fate.at("after-send"))
+    _around(RecordKeeper, "may_tell", lambda keeper, request, answer: fate.at("after-answer"), None)
+    _around(Engine, "tell", None, lambda engine, number: fate.at("after-tell"))
+
+
+class IntentAfterSend(Life):
+    """The send does not wait for its intent."""
+
+    def _wanted(self, now: int, call: Any, event: SendWanted) -> None:
+        super()._wanted(now, call, event)
+        for attempt in call.waiting if not call.over else ():
+            call.out.add(attempt)
+            self.actions.append(Release(call.opened.number, attempt))
+        call.waiting = {}
+
+
+class DoubtIsNothing(Life):
+    """What is in doubt is begun anew."""
+
+    def _held(self, now: int, call: Any, record: Record) -> None:
+        if record.state is State.DOUBT and not call.over and not call.out:
+            self._release(now, call)
+        else:
+            super()._held(now, call, record)
+
+
+class NoDoubt(SqliteStore):
+    """A start leaves the open intents of its older epochs as they are: the fence is left out."""
+
+    def _fence(self, epoch: int, reason: str) -> list[Record]:
+        self._changed("DELETE FROM records WHERE epoch = ? AND state = 'intent'", epoch)
+        return []
+
+
+MUTANTS = ("intent-after-send", "doubt-is-nothing", "no-fence")
+
+
+def mutate(name: str) -> None:
+    if name == "no-fence":
+        setattr(attach, "SqliteStore", NoDoubt)  # noqa: B010
+    else:
+        lives = {"intent-after-send": IntentAfterSend, "doubt-is-nothing": DoubtIsNothing}
+        setattr(attach, "Life", lives[name])  # noqa: B010
+
+
+def main() -> int:
+    path, point, nth = sys.argv[1], sys.argv[2], int(sys.argv[3])
+    if point != "never":
+        doom(point, nth)
+    if len(sys.argv) > 4:
+        mutate(sys.argv[4])
+    return run(read(path), lambda: read(path))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/rigs/fronts.py
+++ b/rigs/fronts.py
@@ -6,11 +6,16 @@
 from __future__ import annotations
 
 import asyncio
+import tempfile
 import time
+from collections.abc import Callable
+from dataclasses import replace
+from pathlib import Path
 from typing import Any, Protocol
 
 from minthitch import Client, Refused, Served
 from minthitch.config import from_table
+from minthitch.operatorfile import record_config
 from rigs.process import NodeProcess
 from rigs.servers import PATIENCE
 from rigs.tier import Outcome, ScriptedTier
@@ -26,6 +31,7 @@
 
 
 def _table(tier: ScriptedTier, settings: dict[str, Any]) -> dict[str, Any]:
+    """The platform's configuration, without `listen`."""
     return {"name": "front", "discovery": tier.where, "seed": "5eed",
             "limits": {"sockets": 1024}, "settings": settings}
 
@@ -33,8 +39,13 @@
 class Embedded:
     """The library, called from this loop."""
 
+    def __init__(self, **more: Any) -> None:
+        self.more = more  # beside what every front is told
+
     async def start(self, tier: ScriptedTier, settings: dict[str, Any]) -> None:
-        self.client = Client(from_table({**_table(tier, settings), "listen": "127.0.0.1:1"}, {}))
+        table = {**_table(tier, settings), "listen": "127.0.0.1:1"}
+        config = from_table(table, {})
+        self.client = Client(replace(config, record=record_config({**table, **self.more}, config.settings)))
         await self.client.start()
         await tier.discovery.watches(1)
         async with asyncio.timeout(PATIENCE):
@@ -66,8 +77,11 @@
 class Daemon:
     """The node as it is run, over kept connections."""
 
+    def __init__(self, **more: Any) -> None:
+        self.more = more
+
     async def start(self, tier: ScriptedTier, settings: dict[str, Any]) -> None:
-        self.node = NodeProcess(_table(tier, settings))
+        self.node = NodeProcess({**_table(tier, settings), **self.more})
         await self.node.start()
 
     async def call(self, step: Step) -> Outcome:
@@ -94,4 +108,13 @@
         assert await self.node.stop() == 0
 
 
-FRONTS: dict[str, type[Embedded] | type[Daemon]] = {"daemon": Daemon, "embedded": Embedded}
+def _recorded(front: Callable[..., Front]) -> Front:
+    """The same with a store of record; what may run once only needs it."""
+    store = Path(tempfile.mkdtemp(prefix="minthitch-")) / "record.db"
+    return front(record={"store": str(store), "identity": "X-Correlation-Id", "required": ["unsafe"],
+                         "best_effort": ["keyed"]})
+
+
+FRONTS: dict[str, Callable[[], Front]] = {
+    "daemon": Daemon, "embedded": Embedded, "daemon with a record": lambda: _recorded(Daemon),
+    "embedded with a record": lambda: _recorded(Embedded)}
--- a/rigs/process.py
+++ b/rigs/process.py
@@ -40,8 +40,10 @@
         self.folder = tempfile.TemporaryDirectory()
         path = Path(self.folder.name) / "config.json"
         path.write_text(json.dumps({**self.table, "listen": f"127.0.0.1:{self.port}"}))
+        words = ["serve", str(path)] if "record" in self.table else []  # the plain start knows no record
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "minthitch", cwd=ROOT, env={**os.environ, "BALANCER_CONFIG": str(path)})
+            sys.executable, "-m", "minthitch", *words, cwd=ROOT,
+            env={**os.environ, "BALANCER_CONFIG": str(path)})
         async with asyncio.timeout(PATIENCE):
             while not await self._ready():
                 if self.process.returncode is not None:
