--- a/bench/record_kills.py
+++ b/bench/record_kills.py
@@ -1,9 +1,9 @@
 """Sales while nodes are killed at named points: `python -m bench.record_kills [--quick]`.
 
 Real node processes over SQLite are killed (SIGKILL) at each point of a sale, under concurrent sales whose
-clients try again under one identity. Then the servers' own ledger, the store and what clients heard are joined:
-no sale ran twice, none that ran is unreported (served, failed or in doubt), none is reported served that did not
-run. Runs with a rule left out must show violations.
+clients try again under one identity. Then the servers' own ledger, the store and what clients heard are
+joined: no sale ran twice, none that ran is unreported (served, failed or in doubt), none is reported served
+that did not run. Runs with a rule left out must show violations.
 """
 
 from __future__ import annotations
--- a/minthitch/cli/record.py
+++ b/minthitch/cli/record.py
@@ -86,7 +86,8 @@
 
 def main(args: argparse.Namespace) -> int:
     """Carries out one of the words. Exit code 1 where there is nothing to it. Raises ConfigError."""
-    if not os.path.exists(args.store):  # danger: opening would make an empty one, and say that nothing is known
+    # Danger: opening would make an empty store, and say that nothing is known.
+    if not os.path.exists(args.store):
         raise ConfigError(f"--store {args.store!r}: no such file")
     store = SqliteStore(args.store)
     try:
--- a/minthitch/record/sql.py
+++ b/minthitch/record/sql.py
@@ -57,6 +57,7 @@
     """A `Store` over one connection. Backends say how to run a statement and end a transaction."""
 
     dialect: Dialect
+    _translated: dict[str, str]
 
     # What a backend says ------------------------------------------------------------------------
 
@@ -119,7 +120,12 @@
             raise StoreError(f"{what}: the commit's answer never came")
 
     def _sql(self, statement: str) -> str:
-        return statement.replace("?", self.dialect.mark).replace("NOW", self.dialect.now)
+        """The statement in this dialect; each is translated once, as there are a few dozen."""
+        known = self._translated.get(statement)
+        if known is None:
+            known = statement.replace("?", self.dialect.mark).replace("NOW", self.dialect.now)
+            self._translated[statement] = known
+        return known
 
     def _run(self, statement: str, *parameters: Any) -> list[tuple[Any, ...]]:
         return self.run(self._sql(statement), parameters)
@@ -213,17 +219,16 @@
         return Missing() if found is None else Held(found)
 
     def _claim(self, write: Claim) -> Result:
-        rows = self._run(
+        done = self._changed(
             f"INSERT INTO records ({COLUMNS}) VALUES (?, ?, ?, ?, ?, 1, 'intent', ?, 1, ?, 0, '', ?, NULL, "
             "?, NULL, '') ON CONFLICT (identity) DO UPDATE SET cls = excluded.cls, digest = excluded.digest, "
             "node = excluded.node, epoch = excluded.epoch, turn = records.turn + 1, state = 'intent', "
             "server = excluded.server, attempts = 1, made_at = excluded.made_at, ended_at = 0, reason = '', "
             "answer_digest = excluded.answer_digest, answer = NULL, content_type = excluded.content_type, "
-            "word = NULL, why = '' WHERE records.state = 'never-ran' OR records.word = 'never-ran' "
-            "RETURNING turn",
+            "word = NULL, why = '' WHERE records.state = 'never-ran' OR records.word = 'never-ran'",
             write.identity, write.cls, write.digest, write.node, write.epoch, write.server, write.at, b"",
             b"")
-        return Done() if rows else self._as_it_is(write.identity)
+        return Done() if done else self._as_it_is(write.identity)
 
     def _settle(self, write: Settle) -> Result:
         done = self._changed(
--- a/minthitch/record/sqlite.py
+++ b/minthitch/record/sqlite.py
@@ -25,6 +25,7 @@
     def __init__(self, path: str | os.PathLike[str], busy_for: int = BUSY_FOR) -> None:
         self.path, self.busy_for = os.fspath(path), busy_for
         self.connection: sqlite3.Connection | None = None
+        self._translated = {}
 
     def connect(self) -> None:
         self.close()
--- a/rigs/doomed.py
+++ b/rigs/doomed.py
@@ -1,7 +1,7 @@
-"""A node with a record that kills itself at a named point: `python -m rigs.doomed CONFIG POINT NTH [MUTANT]`.
+"""A node with a record that kills itself at a point: `python -m rigs.doomed CONFIG POINT NTH [MUTANT]`.
 
-SIGKILL, as a crash is: nothing is closed, flushed or told. A mutant leaves one rule of the record out, so that a
-run can show that it would see the breach.
+SIGKILL, as a crash is: nothing is closed, flushed or told. A mutant leaves one rule of the record out, so
+that a run can show that it would see the breach.
 """
 
 from __future__ import annotations
