--- a/minthitch/cli/record.py
+++ b/minthitch/cli/record.py
@@ -13,14 +13,14 @@
 
 from minthitch.config import ConfigError
 from minthitch.record.model import Record, Word
-from minthitch.record.sqlite import SqliteStore
+from minthitch.record.choose import POSTGRES, open_store
 from minthitch.record.store import Store, StoreError
 
 
 def add_to(commands: Any) -> None:
     """The command's arguments, beside the others'."""
     record = commands.add_parser("record", help="look into the store of record, and resolve what is in doubt")
-    record.add_argument("--store", required=True, metavar="PATH", help="the store's file, as in record.store")
+    record.add_argument("--store", required=True, metavar="PATH|URL", help="as record.store")
     words = record.add_subparsers(dest="word", required=True)
     show = words.add_parser("show", help="what is known of one sale, as JSON; exit code 1 if nothing is")
     show.add_argument("identity")
@@ -87,10 +87,11 @@
 def main(args: argparse.Namespace) -> int:
     """Carries out one of the words. Exit code 1 where there is nothing to it. Raises ConfigError."""
     # Danger: opening would make an empty store, and say that nothing is known.
-    if not os.path.exists(args.store):
+    if not args.store.startswith(POSTGRES) and not os.path.exists(args.store):
         raise ConfigError(f"--store {args.store!r}: no such file")
-    store = SqliteStore(args.store)
+    store: Store | None = None
     try:
+        store = open_store(args.store)
         store.open()
         return DO[args.word](store, args)
     except StoreError as err:
@@ -98,4 +99,5 @@
     except BrokenPipeError:
         return 0
     finally:
-        store.close()
+        if store is not None:
+            store.close()
--- a/minthitch/operatorfile.py
+++ b/minthitch/operatorfile.py
@@ -141,8 +141,9 @@
         raise ConfigError(f"record = {table!r} is not a table")
     _known(table, RECORD_KEYS, "record.")
     store, identity = table.get("store"), table.get("identity", "Idempotency-Key")
-    if not isinstance(store, str) or not store or "://" in store:
-        raise ConfigError(f"record.store = {store!r} is not the path of a file")
+    url = isinstance(store, str) and "://" in store
+    if not isinstance(store, str) or not store or (url and not store.startswith(("postgres://", "postgresql://"))):
+        raise ConfigError(f"record.store = {store!r} is neither the path of a file nor a postgresql:// URL")
     if not isinstance(identity, str) or not FIELD_NAME.fullmatch(identity):
         raise ConfigError(f"record.identity = {identity!r} is not the name of a field")
     known = [spec.name for spec in settings.classes]
--- a/minthitch/record/attach.py
+++ b/minthitch/record/attach.py
@@ -11,7 +11,7 @@
 from minthitch.interface import MILLISECOND
 from minthitch.record.keeper import RecordKeeper
 from minthitch.record.life import Life, Need, Terms
-from minthitch.record.sqlite import SqliteStore
+from minthitch.record.choose import open_store, shown
 from minthitch.record.store import Store, StoreError
 from minthitch.record.writer import Results, Writer
 
@@ -26,11 +26,11 @@
         self.config, self.log = config, log
         self.loop = asyncio.get_running_loop()
         self.keeper: RecordKeeper | None = None
-        self.writer = Writer(lambda: SqliteStore(config.store), self._deliver, self._back, log, self._chore)
+        self.writer = Writer(lambda: open_store(config.store), self._deliver, self._back, log, self._chore)
         try:
             epoch = self.writer.start(node, config.lease // MILLISECOND)
         except StoreError as err:
-            raise ConfigError(f"record.store = {config.store!r}: {err}") from None
+            raise ConfigError(f"record.store = {shown(config.store)!r}: {err}") from None
         terms = Terms(node, epoch, config.lease, config.intent_within, config.answer_within,
                       keep_answer=config.keep_answer)
         needs = {number: Need.REQUIRED if spec.name in config.required else Need.BEST_EFFORT
--- a/rigs/doomed.py
+++ b/rigs/doomed.py
@@ -108,7 +108,7 @@
 
 def mutate(name: str) -> None:
     if name == "no-fence":
-        setattr(attach, "SqliteStore", NoDoubt)  # noqa: B010
+        setattr(attach, "open_store", NoDoubt)  # noqa: B010
     else:
         lives = {"intent-after-send": IntentAfterSend, "doubt-is-nothing": DoubtIsNothing}
         setattr(attach, "Life", lives[name])  # noqa: B010
--- /dev/null
+++ b/tests/test_record_postgres.py
@@ -0,0 +1,191 @@
+"""PostgreSQL's side: the real client against the stand-in, and what servers do when they fail."""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import psycopg
+import pytest
+
+from minthitch.record.choose import open_store, shown
+from minthitch.record.model import Claim, Done, Held, Lost, Record, Result, Settle, State
+from minthitch.record.postgres import PostgresStore
+from minthitch.record.store import CommitUnknown, StoreError
+from minthitch.record.writer import Writer
+from rigs.postgres import Postgres
+from rigs.servers import PATIENCE
+from tests.test_cli import command
+
+LEASE = 60_000
+
+
+@pytest.fixture
+def server(tmp_path: Path) -> Iterator[Postgres]:
+    made = Postgres(tmp_path / "pg.db")
+    yield made
+    made.close()
+
+
+@pytest.fixture
+def store(server: Postgres) -> Iterator[PostgresStore]:
+    made = PostgresStore(server.url, answer_within=1.0)
+    made.open()
+    yield made
+    made.close()
+
+
+def claim(identity: str, epoch: int) -> Claim:
+    return Claim(identity, "buy", b"d", "n1", epoch, "s1", 1)
+
+
+def test_a_wrong_password_is_one_clear_error_without_it(server: Postgres) -> None:
+    url = server.url.replace("not%20a%20secret", "guessed-wrong")
+    with pytest.raises(StoreError, match="password authentication failed") as caught:
+        PostgresStore(url).open()
+    assert "guessed-wrong" not in str(caught.value) and "\n" not in str(caught.value)
+    assert shown(url) == f"127.0.0.1:{server.port}/record"
+
+
+def test_a_server_that_is_not_there_or_refuses_is_one_clear_error(server: Postgres) -> None:
+    server.always = "refuse"
+    with pytest.raises(StoreError, match="127.0.0.1"):
+        PostgresStore(server.url).open()
+    server.close()
+    with pytest.raises(StoreError, match="refused"):
+        PostgresStore(server.url).open()
+
+
+@pytest.mark.parametrize(("fault", "written"), [("reset-before", False), ("reset-after", True)])
+def test_a_commit_whose_answer_never_came_is_unknown_and_read_back(server: Postgres, store: PostgresStore,
+                                                                  fault: str, written: bool) -> None:
+    epoch = store.begin("n1", LEASE)
+    server.script.append(fault)
+    with pytest.raises(CommitUnknown) as caught:
+        store.apply("token", [claim("a", epoch)])
+    assert caught.value.results == [Done()]
+    store.open()
+    assert store.landed("token") == written
+    assert (store.show("a") is not None) == written
+
+
+@pytest.mark.parametrize("state", ["40001", "53100", "23505"])
+def test_an_error_that_the_server_states_at_commit_was_not_done(server: Postgres, store: PostgresStore,
+                                                               state: str) -> None:
+    epoch = store.begin("n1", LEASE)
+    server.script.append(state)
+    with pytest.raises(StoreError, match=state) as caught:
+        store.apply("token", [claim("a", epoch)])
+    assert not isinstance(caught.value, CommitUnknown)
+    assert store.show("a") is None and store.apply("again", [claim("a", epoch)]) == [Done()]
+
+
+def test_an_administrator_that_ends_it_in_a_commit_leaves_it_unknown(server: Postgres,
+                                                                    store: PostgresStore) -> None:
+    epoch = store.begin("n1", LEASE)
+    server.script.append("57P01")
+    with pytest.raises(CommitUnknown):
+        store.apply("token", [claim("a", epoch)])
+    store.open()
+    assert not store.landed("token")
+
+
+def test_a_server_that_stalls_is_left_in_time(server: Postgres, store: PostgresStore) -> None:
+    epoch = store.begin("n1", LEASE)
+    server.script.append("stall")
+    began = time.monotonic()
+    with pytest.raises(CommitUnknown):
+        store.apply("token", [claim("a", epoch)])
+    assert time.monotonic() - began < PATIENCE / 2
+    server.go.set()
+
+
+def test_a_read_only_server_loses_the_batch(server: Postgres, store: PostgresStore) -> None:
+    epoch = store.begin("n1", LEASE)
+    server.always = "read-only"
+    with pytest.raises(StoreError, match="25006"):
+        store.apply("token", [claim("a", epoch)])
+    server.always = ""
+    assert store.apply("again", [claim("a", epoch)]) == [Done()]
+
+
+def test_bytes_texts_and_numbers_pass_unchanged(store: PostgresStore) -> None:
+    epoch = store.begin("nód 'ø\"; --", LEASE)
+    identity, every = "säle '1' \\x $1 ?", bytes(range(256))
+    store.apply("t", [Claim(identity, "buy", every, "n", epoch, "s", 1 << 50), Settle(
+        identity, epoch, State.SERVED, 1 << 51, "", every, every, b"a/b")])
+    record = store.show(identity)
+    assert isinstance(record, Record) and record.answer == record.digest == every
+    assert (record.made_at, record.ended_at, record.content_type) == (1 << 50, 1 << 51, b"a/b")
+
+
+def test_the_stand_in_speaks_to_the_plain_client_too(server: Postgres) -> None:
+    with psycopg.connect(server.url, autocommit=True) as connection:
+        connection.execute("CREATE TABLE t (a BIGINT, b TEXT, c BYTEA)")
+        connection.execute("INSERT INTO t VALUES (%s, %s, %s)", (7, None, b"\x00\xff"))
+        assert connection.execute("SELECT a, b, c FROM t").fetchall() == [(7, None, b"\x00\xff")]
+        with pytest.raises(psycopg.errors.SyntaxError):
+            connection.execute("SELECT FROM WHERE")
+        with pytest.raises(psycopg.errors.InFailedSqlTransaction), connection.transaction():
+            with pytest.raises(psycopg.Error):
+                connection.execute("SELECT nothing FROM nowhere")
+            connection.execute("SELECT 1")
+
+
+def test_the_writer_reads_back_a_lost_commit_and_outlives_the_server(server: Postgres) -> None:
+    results: dict[int, Result] = {}
+    changed = threading.Condition()
+    backs: list[int] = []
+
+    def deliver(given: list[tuple[int, Result]]) -> None:
+        with changed:
+            results.update(given)
+            changed.notify_all()
+
+    def back() -> None:
+        with changed:
+            backs.append(1)
+            changed.notify_all()
+
+    writer = Writer(lambda: PostgresStore(server.url, answer_within=1.0), deliver, back)
+    epoch = writer.start("n1", LEASE)
+
+    def until(ready: Any) -> None:
+        with changed:
+            assert changed.wait_for(ready, PATIENCE)
+
+    server.script.append("reset-after")
+    writer.put(1, claim("a", epoch))
+    until(lambda: 1 in results and backs)
+    assert results[1] == Done()
+    server.always = "refuse"
+    server.kill_all()
+    writer.put(2, claim("b", epoch))
+    until(lambda: 2 in results)
+    assert isinstance(results[2], Lost)
+    server.always = ""
+    until(lambda: len(backs) == 2)
+    writer.put(3, claim("b", epoch))
+    writer.put(4, claim("a", epoch))
+    until(lambda: 4 in results)
+    assert results[3] == Done() and isinstance(results[4], Held)
+    writer.close()
+
+
+def test_the_operators_commands_work_on_it(server: Postgres, store: PostgresStore) -> None:
+    old = store.begin("n1", LEASE)
+    store.apply("t", [claim("sale-1", old)])
+    store.begin("n1", LEASE)
+    done = command("record", "--store", server.url, "doubtful")
+    assert done.returncode == 0 and done.stdout.startswith("sale-1  doubt")
+    done = command("record", "--store", server.url, "resolve", "sale-1", "ran", "--why", "the till has it")
+    assert done.returncode == 0, done.stderr
+    assert command("record", "--store", server.url, "doubtful").stdout == ""
+
+
+def test_the_configurations_word_chooses_the_store(tmp_path: Path) -> None:
+    assert isinstance(open_store("postgresql://u:p@127.0.0.1:1/x"), PostgresStore)
+    assert type(open_store(str(tmp_path / "r.db"))).__name__ == "SqliteStore"
--- a/tests/test_record_store.py
+++ b/tests/test_record_store.py
@@ -8,28 +8,55 @@
 import subprocess
 import sys
 import threading
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from pathlib import Path
 
 import pytest
 
 from minthitch.record.model import (
     Attempted, Claim, Done, Fenced, Held, Look, Missing, Record, Renew, Settle, State, Word, Write)
+from minthitch.record.postgres import PostgresStore
+from minthitch.record.sql import SqlStore
 from minthitch.record.sqlite import SqliteStore
 from minthitch.record.store import StoreError
 from rigs.modelstore import ModelStore
+from rigs.postgres import Postgres
 
 LEASE = 60_000
 
 
 @pytest.fixture
-def store(tmp_path: Path) -> Iterator[SqliteStore]:
+def sqlite(tmp_path: Path) -> Iterator[SqliteStore]:
     made = SqliteStore(tmp_path / "record.db", busy_for=100)
     made.open()
     yield made
     made.close()
 
 
+@pytest.fixture(params=["sqlite", "postgres"])
+def again(request: pytest.FixtureRequest, tmp_path: Path) -> Iterator[Callable[[], SqlStore]]:
+    """Opens the one store once more."""
+    opened: list[SqlStore] = []
+    server = Postgres(tmp_path / "pg.db") if request.param == "postgres" else None
+
+    def connect() -> SqlStore:
+        made = PostgresStore(server.url) if server is not None else SqliteStore(tmp_path / "record.db")
+        made.open()
+        opened.append(made)
+        return made
+
+    yield connect
+    for made in opened:
+        made.close()
+    if server is not None:
+        server.close()
+
+
+@pytest.fixture
+def store(again: Callable[[], SqlStore]) -> SqlStore:
+    return again()
+
+
 def claim(identity: str, epoch: int, digest: bytes = b"d", node: str = "n1") -> Claim:
     return Claim(identity, "buy", digest, node, epoch, "s1", 1)
 
@@ -38,12 +65,12 @@
     return Settle(identity, epoch, state, 2, "", digest, b"ticket" if state is State.SERVED else None, b"a/b")
 
 
-def put(store: SqliteStore, *writes: Write) -> list[object]:
+def put(store: SqlStore, *writes: Write) -> list[object]:
     tokens = iter(range(1 << 30))
     return list(store.apply(f"t{random.random()}{next(tokens)}", writes))
 
 
-def test_the_life_of_a_record(store: SqliteStore) -> None:
+def test_the_life_of_a_record(store: SqlStore) -> None:
     epoch = store.begin("n1", LEASE)
     assert put(store, Look("a")) == [Missing()]
     assert put(store, claim("a", epoch), Attempted("a", epoch, "s2", 5), settle("a", epoch)) == [Done()] * 3
@@ -53,7 +80,7 @@
     assert put(store, claim("a", epoch)) == [Held(record)]  # it has an outcome, and is never begun again
 
 
-def test_an_outcome_is_written_once_and_a_second_is_a_conflict(store: SqliteStore) -> None:
+def test_an_outcome_is_written_once_and_a_second_is_a_conflict(store: SqlStore) -> None:
     epoch = store.begin("n1", LEASE)
     put(store, claim("a", epoch), settle("a", epoch, digest=b"1"))
     assert put(store, settle("a", epoch, digest=b"1")) == [Done()]  # the same again: its answer was lost
@@ -63,21 +90,19 @@
         f"second outcome: failed by epoch {epoch}"]
 
 
-def test_two_nodes_that_claim_one_sale_get_one_holder(tmp_path: Path) -> None:
-    path = tmp_path / "record.db"
+def test_two_nodes_that_claim_one_sale_get_one_holder(again: Callable[[], SqlStore]) -> None:
     winners: list[str] = []
     barrier = threading.Barrier(4)
-    SqliteStore(path).open()
+    again()
 
     def node(name: str) -> None:
-        own = SqliteStore(path)
-        own.open()
+        own = again()
         epoch = own.begin(name, LEASE)
         for i in range(20):
             barrier.wait()
             if isinstance(put(own, claim(f"sale{i}", epoch, node=name))[0], Done):
                 winners.append(f"sale{i}")
-        own.close()
+        own.close()  # by the thread that opened it
 
     threads = [threading.Thread(target=node, args=(f"n{i}",)) for i in range(4)]
     for thread in threads:
@@ -87,7 +112,7 @@
     assert sorted(winners) == sorted(f"sale{i}" for i in range(20))
 
 
-def test_a_restart_puts_open_intents_in_doubt_once_and_fences_the_old_process(store: SqliteStore) -> None:
+def test_a_restart_puts_open_intents_in_doubt_once_and_fences_the_old_process(store: SqlStore) -> None:
     old = store.begin("n1", LEASE)
     put(store, claim("open", old), claim("done", old), settle("done", old))
     new = store.begin("n1", LEASE)
@@ -103,26 +128,26 @@
     assert isinstance(held, Held) and held.record.state is State.DOUBT  # never sent again
 
 
-def test_only_leases_that_ran_out_are_taken_over_and_each_once(tmp_path: Path, store: SqliteStore) -> None:
+def test_only_leases_that_ran_out_are_taken_over_and_each_once(again: Callable[[], SqlStore],
+                                                              store: SqlStore) -> None:
     silent, live = store.begin("n1", 0), store.begin("n2", LEASE)
     put(store, claim("a", silent), claim("b", live, node="n2"))
     while not (found := store.take_over()):  # the store's clock is in ms
         pass
     assert [r.identity for r in found] == ["a"] and found[0].state is State.DOUBT
-    other = SqliteStore(store.path)
-    other.open()
+    other = again()
     assert other.take_over() == store.take_over() == []
     other.close()
     assert put(store, settle("b", live)) == [Done()]
 
 
-def test_a_renewed_lease_is_kept(store: SqliteStore) -> None:
+def test_a_renewed_lease_is_kept(store: SqlStore) -> None:
     epoch = store.begin("n1", 0)
     assert put(store, Renew(epoch, LEASE), claim("a", epoch)) == [Done(), Done()]
     assert store.take_over() == []
 
 
-def test_what_never_ran_may_be_begun_again_with_a_new_turn(store: SqliteStore) -> None:
+def test_what_never_ran_may_be_begun_again_with_a_new_turn(store: SqlStore) -> None:
     epoch = store.begin("n1", LEASE)
     put(store, claim("a", epoch), settle("a", epoch, State.NEVER_RAN))
     assert put(store, claim("a", epoch)) == [Done()]
@@ -130,7 +155,7 @@
     assert record is not None and (record.turn, record.state, record.attempts) == (2, State.INTENT, 1)
 
 
-def test_an_operators_word_resolves_what_may_have_run_and_only_once(store: SqliteStore) -> None:
+def test_an_operators_word_resolves_what_may_have_run_and_only_once(store: SqlStore) -> None:
     old = store.begin("n1", LEASE)
     put(store, claim("a", old), claim("b", old), claim("c", old), settle("c", old))
     new = store.begin("n1", LEASE)
@@ -147,7 +172,7 @@
     assert record is not None and record.state is State.DOUBT  # the outcome itself stays as it was
 
 
-def test_a_batch_is_written_whole_or_not_at_all(store: SqliteStore) -> None:
+def test_a_batch_is_written_whole_or_not_at_all(store: SqlStore) -> None:
     epoch = store.begin("n1", LEASE)
     put(store, claim("a", epoch))
     with pytest.raises(StoreError):
@@ -159,7 +184,7 @@
     assert store.landed("t2")
 
 
-def test_pruning_leaves_what_is_open_or_in_doubt(store: SqliteStore) -> None:
+def test_pruning_leaves_what_is_open_or_in_doubt(store: SqlStore) -> None:
     old = store.begin("n1", LEASE)
     put(store, claim("doubt", old))
     epoch = store.begin("n1", LEASE)
@@ -173,14 +198,14 @@
     assert {r.identity for r in store.export()} == {"doubt", "open", "failed"}
 
 
-def test_an_export_goes_through_all_pages(store: SqliteStore) -> None:
+def test_an_export_goes_through_all_pages(store: SqlStore) -> None:
     epoch = store.begin("n1", LEASE)
     put(store, *(claim(f"i{i:05}", epoch) for i in range(1_201)))
     assert [r.identity for r in store.export()] == [f"i{i:05}" for i in range(1_201)]
 
 
 @pytest.mark.parametrize("seed", range(6))
-def test_sqlite_and_the_model_agree_on_random_writes(store: SqliteStore, seed: int) -> None:
+def test_sqlite_and_the_model_agree_on_random_writes(store: SqlStore, seed: int) -> None:
     rng, model = random.Random(seed), ModelStore()
     epochs = {"n1": (store.begin("n1", LEASE), model.begin("n1", LEASE)),
               "n2": (store.begin("n2", LEASE), model.begin("n2", LEASE))}
@@ -243,21 +268,22 @@
             SqliteStore(path).open()
 
 
-def test_a_schema_newer_than_the_program_is_one_clear_error(store: SqliteStore) -> None:
+def test_a_schema_newer_than_the_program_is_one_clear_error(again: Callable[[], SqlStore],
+                                                           store: SqlStore) -> None:
     store.set_version(99)
     with pytest.raises(StoreError, match="version 99 of the store is newer"):
-        SqliteStore(store.path).open()
+        again()
 
 
-def test_a_lock_of_another_process_is_an_error_in_time_and_passes(store: SqliteStore) -> None:
-    epoch = store.begin("n1", LEASE)
-    other = sqlite3.connect(store.path, isolation_level=None)
+def test_a_lock_of_another_process_is_an_error_in_time_and_passes(sqlite: SqliteStore) -> None:
+    epoch = sqlite.begin("n1", LEASE)
+    other = sqlite3.connect(sqlite.path, isolation_level=None)
     other.execute("BEGIN IMMEDIATE")
     with pytest.raises(StoreError, match="locked"):
-        put(store, claim("a", epoch))
+        put(sqlite, claim("a", epoch))
     other.execute("ROLLBACK")
     other.close()
-    assert put(store, claim("a", epoch)) == [Done()]
+    assert put(sqlite, claim("a", epoch)) == [Done()]
 
 
 def test_a_full_disk_fails_the_batch_and_harms_nothing_before_it(tmp_path: Path) -> None:
@@ -292,18 +318,18 @@
     assert resource.getrlimit(resource.RLIMIT_FSIZE)
 
 
-def test_a_second_process_on_the_file_shares_it(store: SqliteStore) -> None:
-    epoch = store.begin("n1", LEASE)
-    put(store, claim("a", epoch))
+def test_a_second_process_on_the_file_shares_it(sqlite: SqliteStore) -> None:
+    epoch = sqlite.begin("n1", LEASE)
+    put(sqlite, claim("a", epoch))
     code = f"""
 import sys
 sys.path.insert(0, {str(Path(__file__).parent.parent)!r})
 from tests.test_record_store import *
-other = SqliteStore({store.path!r})
+other = SqliteStore({sqlite.path!r})
 other.open()
 epoch = other.begin("n2", LEASE)
 print([type(result).__name__ for result in put(other, claim("a", epoch), claim("b", epoch))])
 """
     done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, timeout=60)
     assert done.stdout == "['Held', 'Done']\n", done.stderr
-    assert put(store, settle("a", epoch)) == [Done()]
+    assert put(sqlite, settle("a", epoch)) == [Done()]
