The change read once more: dead code out, twins made one

Need: a read of the whole change found state and a function that nothing used in life.py, one transaction frame written five times in sql.py, one loop twice in life.py, foreign requests named twice (ASGI, httpx), two free_port, and temporary folders of the conformance fronts that stayed behind.

Change: each is one piece now.

--- a/bench/record_kills.py
+++ b/bench/record_kills.py
@@ -125,7 +125,7 @@
         """What is wrong, as lines."""
         self.up = asyncio.Event()
         servers = [await asyncio.start_server(Server(self._serve), "127.0.0.1", 0) for _ in range(3)]
-        self.port = await free_port()
+        self.port = free_port()
         with tempfile.TemporaryDirectory() as folder:
             store, path = Path(folder) / "record.db", Path(folder) / "node.json"
             path.write_text(json.dumps({
--- a/minthitch/asgi.py
+++ b/minthitch/asgi.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import asyncio
-import math
 from collections.abc import Awaitable, Callable, Iterable, MutableMapping, Sequence
 from dataclasses import dataclass
 from typing import Any
@@ -14,7 +13,7 @@
 
 from minthitch.embedded.client import Client
 from minthitch.embedded.errors import BadCall, ClientClosed
-from minthitch.embedded.requests import new_identity
+from minthitch.embedded.requests import of_class, whole_seconds
 from minthitch.engine.calls import Answer, Refused, Served
 from minthitch.engine.fields import MOST_BODY
 from minthitch.interface import Effect
@@ -24,7 +23,6 @@
 Receive = Callable[[], Awaitable[Message]]
 Send = Callable[[Message], Awaitable[None]]
 App = Callable[[Scope, Receive, Send], Awaitable[None]]
-OWN_FIELDS = frozenset((b"x-service-class", b"content-length", b"transfer-encoding"))
 ALLOW = {Effect.SAFE: b"GET, HEAD", Effect.KEYED: b"POST", Effect.UNSAFE: b"POST"}
 
 
@@ -106,7 +104,7 @@
             body = await _body(receive, fields)
             answer = await _until_left(client.send(
                 b"GET" if effect is Effect.SAFE else b"POST", _target(scope, route),
-                _fields(scope["headers"], route), body), receive)
+                of_class(scope["headers"], route.service_class), body), receive)
         except _TooLong:
             await _respond(send, 413, (b"connection", b"close"))
         except _Left:
@@ -143,15 +141,6 @@
     return raw + b"?" + query if query else raw
 
 
-def _fields(headers: Iterable[tuple[bytes, bytes]], route: Route) -> list[tuple[bytes, bytes]]:
-    """What came, of this route's class; danger: a caller must not choose its class by itself."""
-    fields = [(name, value) for name, value in headers if name not in OWN_FIELDS]
-    fields.append((b"x-service-class", route.service_class.encode()))
-    if not any(name == b"x-correlation-id" for name, _ in fields):
-        fields.append((b"x-correlation-id", new_identity().encode()))
-    return fields
-
-
 async def _body(receive: Receive, fields: dict[bytes, bytes]) -> bytes:
     """The whole body. Raises _TooLong before it fills the memory, _Left when the caller goes."""
     stated = fields.get(b"content-length", b"")
@@ -195,8 +184,7 @@
     if isinstance(answer, Served):
         await _respond(send, 200, *answer.fields, body=answer.body, bare=bare)
     elif isinstance(answer, Refused):
-        # HTTP's Retry-After is in whole seconds.
-        wait = ((b"retry-after", b"%d" % math.ceil(answer.retry_after)),) if answer.retry_after_ns else ()
+        wait = ((b"retry-after", whole_seconds(answer)),) if answer.retry_after_ns else ()
         await _respond(send, 503, *wait)
     else:
         await _respond(send, 502)
--- a/minthitch/embedded/requests.py
+++ b/minthitch/embedded/requests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import math
 import os
 import re
 import secrets
@@ -10,7 +11,7 @@
 
 from minthitch import interface as api
 from minthitch.embedded.errors import BadCall
-from minthitch.engine import Call, Message, Rejected
+from minthitch.engine import Call, Message, Refused, Rejected
 from minthitch.engine.fields import MOST_BODY, NOT_FORWARDED, Reader
 from minthitch.engine.fields import key as session_key
 
@@ -19,6 +20,7 @@
 TOKEN = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
 VALUE = re.compile(rb"[\t\x20-\x7e\x80-\xff]*")
 TARGET = re.compile(rb"/[\x21-\x7e]*")
+OWN_FIELDS = frozenset((b"x-service-class", b"content-length", b"transfer-encoding"))
 ONCE = frozenset((b"x-correlation-id", b"x-service-class", b"x-account", b"x-session-key", b"x-repeat",
                   b"x-weight-hint", b"x-time-left", b"idempotency-key"))
 Headers = Mapping[str, str] | Iterable[tuple[str, str]]
@@ -50,6 +52,20 @@
     return f"{_PREFIX[0]}{next(_numbers):x}"
 
 
+def of_class(fields: Iterable[tuple[bytes, bytes]], service_class: str) -> list[tuple[bytes, bytes]]:
+    """A foreign request's fields as a call of this class; danger: it must not choose its class by itself."""
+    kept = [(name, value) for name, value in fields if name.lower() not in OWN_FIELDS]
+    kept.append((b"X-Service-Class", service_class.encode()))
+    if not any(name.lower() == b"x-correlation-id" for name, _ in kept):
+        kept.append((b"X-Correlation-Id", new_identity().encode()))
+    return kept
+
+
+def whole_seconds(answer: Refused) -> bytes:
+    """Retry-After as HTTP has it."""
+    return b"%d" % math.ceil(answer.retry_after)
+
+
 class Maker:
     """Makes calls by the settings of one client."""
 
@@ -70,10 +86,8 @@
             raise BadCall(f"Idempotency-Key {key!r} does not fit the {effect.value} class {service_class!r}")
         if cost and not 0 < cost < MOST_SECONDS:
             raise BadCall(f"cost {cost!r} is not a number of seconds")
-        if timeout is not None and not 0 < timeout < MOST_SECONDS:
-            raise BadCall(f"timeout {timeout!r} is not a number of seconds above 0")
         raw = target.encode("latin-1", "replace")
-        self._check(raw, body)
+        self._check(raw, body, timeout)
         name = identity or new_identity()
         named = [("X-Correlation-Id", identity), ("X-Account", tenant), ("X-Session-Key", session),
                  ("Idempotency-Key", key)]
@@ -95,7 +109,9 @@
                     key=session_key(table), cost=int(cost * api.SECOND), repeat=repeat)
 
     @staticmethod
-    def _check(target: bytes, body: bytes) -> None:
+    def _check(target: bytes, body: bytes, timeout: float | None) -> None:
+        if timeout is not None and not 0 < timeout < MOST_SECONDS:
+            raise BadCall(f"timeout {timeout!r} is not a number of seconds above 0")
         if len(body) > MOST_BODY:
             raise BadCall(f"the body holds {len(body)} bytes, over {MOST_BODY}", 413)
         if not TARGET.fullmatch(target):  # danger: a space or line end would begin another request
@@ -104,11 +120,9 @@
     def call(self, method: bytes, target: bytes, fields: Iterable[tuple[bytes, bytes]], body: bytes,
              timeout: float | None, heard: int) -> Call:
         """A call that the engine can take, made at `heard` (monotonic ns). Raises BadCall."""
-        self._check(target, body)
+        self._check(target, body, timeout)
         table, head = self._head(fields)
         if timeout is not None:
-            if not 0 < timeout < MOST_SECONDS:
-                raise BadCall(f"timeout {timeout!r} is not a number of seconds above 0")
             table[b"x-time-left"] = f"{timeout * 1e6:.0f}u".encode()
         try:
             self.reader.check(method, table)
--- a/minthitch/httpx_transport.py
+++ b/minthitch/httpx_transport.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Mapping
 from types import TracebackType
 from typing import Self
@@ -14,11 +13,9 @@
 
 from minthitch.embedded.client import Client
 from minthitch.embedded.errors import BadCall, ClientClosed
-from minthitch.embedded.requests import new_identity
+from minthitch.embedded.requests import of_class, whole_seconds
 from minthitch.engine.calls import Refused, Served
 
-OWN_FIELDS = frozenset((b"x-service-class", b"content-length", b"transfer-encoding"))
-
 
 class BalancedTransport(httpx.AsyncBaseTransport):
     """Requests of an httpx client, balanced. The request's host says nothing: the client's servers take it.
@@ -67,10 +64,7 @@
     async def handle_async_request(self, request: httpx.Request) -> httpx.Response:
         """Raises httpx.LocalProtocolError for a call that no server could use, ConnectError when closed."""
         await self._start()
-        fields = [(name, value) for name, value in request.headers.raw if name.lower() not in OWN_FIELDS]
-        fields.append((b"X-Service-Class", self._class(request).encode()))
-        if "x-correlation-id" not in request.headers:
-            fields.append((b"X-Correlation-Id", new_identity().encode()))
+        fields = of_class(request.headers.raw, self._class(request))
         timeout = request.extensions.get("timeout", {}).get("read")
         try:
             answer = await self.client.send(request.method.encode(), request.url.raw_path, fields,
@@ -82,6 +76,6 @@
         if isinstance(answer, Served):
             return httpx.Response(200, headers=list(answer.fields), content=answer.body, request=request)
         if isinstance(answer, Refused):
-            wait = {"Retry-After": str(math.ceil(answer.retry_after))} if answer.retry_after_ns else {}
+            wait = {b"Retry-After": whole_seconds(answer)} if answer.retry_after_ns else {}
             return httpx.Response(503, headers=wait, request=request)
         return httpx.Response(502, request=request)
--- a/minthitch/record/life.py
+++ b/minthitch/record/life.py
@@ -12,8 +12,8 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict, deque
-from dataclasses import dataclass, replace
+from collections import deque
+from dataclasses import dataclass
 from enum import Enum
 
 from minthitch.interface import MILLISECOND, SECOND
@@ -196,12 +196,12 @@
 
     def __init__(self, terms: Terms, lease_until: int) -> None:
         self.terms, self.lease_until = terms, lease_until
-        self.calls: OrderedDict[int, _Call] = OrderedDict()
+        self.calls: dict[int, _Call] = {}
         self.holders: dict[str, int] = {}  # identity: the request that holds it here
         self.tickets: dict[int, tuple[Write, int, int]] = {}  # write, request (0: none), when
         self.next_ticket = 1
         self.backlog: deque[Settle] = deque()
-        self.fenced = self.away = False
+        self.fenced = False
         self.renewing = 0  # the ticket of a renewal that is not back
         self.counts = {"recorded": 0, "unrecorded": 0, "from record": 0, "conflicts": 0, "refused": 0,
                        "dropped outcomes": 0, "told before durable": 0}
@@ -275,7 +275,10 @@
         """Lets what waits go. Danger: behind a lease that ran out another may have taken this node over."""
         if now >= self.lease_until:
             self._renew(now)
-            return
+        else:
+            self._let_go(call)
+
+    def _let_go(self, call: _Call) -> None:
         waiting, call.waiting = call.waiting, {}
         for attempt in waiting:
             call.out.add(attempt)
@@ -308,7 +311,6 @@
         write, number, asked = known
         if (call := self.calls.get(number)) is not None:
             call.pending -= 1
-        self.away = isinstance(event.result, Lost)
         if isinstance(event.result, Fenced):
             self._fence()
         if isinstance(write, Renew):
@@ -383,10 +385,7 @@
         if not call.waiting:
             return
         self.counts["unrecorded"] += 1
-        waiting, call.waiting = call.waiting, {}
-        for attempt in waiting:
-            call.out.add(attempt)
-            self.actions.append(Release(call.opened.number, attempt))
+        self._let_go(call)
 
     def _fence(self) -> None:
         """Another process has this node's place: nothing recorded is sent any more."""
@@ -478,7 +477,6 @@
         self.backlog.append(write)
 
     def _back(self, now: int) -> None:
-        self.away = False
         backlog, self.backlog = self.backlog, deque()
         for write in backlog:
             self._put(now, write, 0)
@@ -542,9 +540,3 @@
             call.claiming.add(self._put(now, Look(call.opened.identity), call.opened.number))
         elif call.waiting and not call.look_at and now >= call.wanted_at + self.terms.intent_within:
             self._without_store(now, call, "it did not answer in time")
-
-
-def as_taken_over(record: Record, reason: str) -> Record:
-    """An open intent whose epoch was fenced off."""
-    assert record.state is State.INTENT
-    return replace(record, state=State.DOUBT, reason=reason)
--- a/minthitch/record/postgres.py
+++ b/minthitch/record/postgres.py
@@ -35,10 +35,10 @@
     dialect = DIALECT
 
     def __init__(self, url: str, answer_within: float = ANSWER_WITHIN) -> None:
+        super().__init__()
         self.url, self.answer_within = url, answer_within
         self.where = url.rpartition("@")[2]  # danger: the password must not reach a log
         self.connection: psycopg.Connection[tuple[Any, ...]] | None = None
-        self._translated = {}
         self.due = 0.0  # by when the statement under way must have answered; 0 = none is
         self.watch: threading.Thread | None = None
         self.closed = False
--- a/minthitch/record/sql.py
+++ b/minthitch/record/sql.py
@@ -7,6 +7,7 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Iterator, Sequence
+from contextlib import contextmanager
 from dataclasses import dataclass
 from typing import Any
 
@@ -57,7 +58,9 @@
     """A `Store` over one connection. Backends say how to run a statement and end a transaction."""
 
     dialect: Dialect
-    _translated: dict[str, str]
+
+    def __init__(self) -> None:
+        self._translated: dict[str, str] = {}
 
     # What a backend says ------------------------------------------------------------------------
 
@@ -100,8 +103,7 @@
     def open(self) -> None:
         self.connect()
         steps = migrations(self.dialect)
-        self.start()
-        try:
+        with self._transaction("the schema"):
             have = self.version()
             if have > len(steps):
                 raise StoreError(f"schema version {have} of the store is newer than our {len(steps)}")
@@ -110,12 +112,16 @@
                     self.run(statement)
             if have < len(steps):
                 self.set_version(len(steps))
+
+    @contextmanager
+    def _transaction(self, what: str) -> Iterator[None]:
+        """All of it or nothing. Raises StoreError, also where the commit's answer never came."""
+        self.start()
+        try:
+            yield
         except BaseException:
             self.rollback()
             raise
-        self._commit("the schema")
-
-    def _commit(self, what: str) -> None:
         if not self.commit():
             raise StoreError(f"{what}: the commit's answer never came")
 
@@ -136,29 +142,18 @@
     # Epochs -------------------------------------------------------------------------------------
 
     def begin(self, node: str, lease: int) -> int:
-        self.start()
-        try:
+        with self._transaction("a new epoch"):
             older = self._run("SELECT epoch FROM epochs WHERE node = ? AND fenced = 0", node)
             for (epoch,) in older:
                 self._fence(epoch, "its node started anew")
             rows = self._run("INSERT INTO epochs (node, started, lease_until) VALUES (?, NOW, NOW + ?) "
                              "RETURNING epoch", node, lease)
-        except BaseException:
-            self.rollback()
-            raise
-        self._commit("a new epoch")
         return int(rows[0][0])
 
     def take_over(self) -> list[Record]:
-        self.start()
-        try:
+        with self._transaction("a take-over"):
             ended = self._run("SELECT epoch FROM epochs WHERE fenced = 0 AND lease_until < NOW")
-            found = [record for (epoch,) in ended for record in self._fence(epoch, "its node fell silent")]
-        except BaseException:
-            self.rollback()
-            raise
-        self._commit("a take-over")
-        return found
+            return [record for (epoch,) in ended for record in self._fence(epoch, "its node fell silent")]
 
     def _fence(self, epoch: int, reason: str) -> list[Record]:
         """Danger: two that take over at once must not both count it; the condition lets one through."""
@@ -267,16 +262,11 @@
         return [_record(row) for row in rows]
 
     def resolve(self, identity: str, word: Word, why: str) -> Record:
-        self.start()
-        try:
+        with self._transaction("a resolution"):
             rows = self._run("UPDATE records SET word = ?, why = ? WHERE identity = ? AND word IS NULL "
                              f"AND state IN ('doubt', 'failed') RETURNING {COLUMNS}",
                              word.value, why, identity)
             found = _record(rows[0]) if rows else self.show(identity)
-        except BaseException:
-            self.rollback()
-            raise
-        self._commit("a resolution")
         if found is None:
             raise StoreError(f"no record of {identity!r}")
         if not rows:
@@ -300,8 +290,7 @@
     def prune(self, before: int, most: int) -> int:
         """Danger: what is open or in doubt stays, whatever its age."""
         ended = "state IN ('served', 'never-ran') OR (word IS NOT NULL AND state IN ('doubt', 'failed'))"
-        self.start()
-        try:
+        with self._transaction("pruning"):
             count = self._changed(f"DELETE FROM records WHERE ended_at < ? AND ({ended})", before)
             (total,) = self._run("SELECT count(*) FROM records")[0]
             if total > most:
@@ -309,10 +298,6 @@
                     f"DELETE FROM records WHERE identity IN (SELECT identity FROM records WHERE {ended} "
                     "ORDER BY ended_at LIMIT ?)", total - most)
             self._run("DELETE FROM conflicts WHERE identity NOT IN (SELECT identity FROM records)")
-        except BaseException:
-            self.rollback()
-            raise
-        self._commit("pruning")
         return count
 
 
--- a/minthitch/record/sqlite.py
+++ b/minthitch/record/sqlite.py
@@ -23,9 +23,9 @@
     dialect = DIALECT
 
     def __init__(self, path: str | os.PathLike[str], busy_for: int = BUSY_FOR) -> None:
+        super().__init__()
         self.path, self.busy_for = os.fspath(path), busy_for
         self.connection: sqlite3.Connection | None = None
-        self._translated = {}
 
     def connect(self) -> None:
         self.close()
--- a/rigs/fronts.py
+++ b/rigs/fronts.py
@@ -39,7 +39,8 @@
 class Embedded:
     """The library, called from this loop."""
 
-    def __init__(self, **more: Any) -> None:
+    def __init__(self, folder: object = None, **more: Any) -> None:
+        self.folder = folder  # held as long as the front is
         self.more = more  # beside what every front is told
 
     async def start(self, tier: ScriptedTier, settings: dict[str, Any]) -> None:
@@ -77,8 +78,8 @@
 class Daemon:
     """The node as it is run, over kept connections."""
 
-    def __init__(self, **more: Any) -> None:
-        self.more = more
+    def __init__(self, folder: object = None, **more: Any) -> None:
+        self.folder, self.more = folder, more
 
     async def start(self, tier: ScriptedTier, settings: dict[str, Any]) -> None:
         self.node = NodeProcess({**_table(tier, settings), **self.more})
@@ -110,9 +111,10 @@
 
 def _recorded(front: Callable[..., Front]) -> Front:
     """The same with a store of record; what may run once only needs it."""
-    store = Path(tempfile.mkdtemp(prefix="minthitch-")) / "record.db"
-    return front(record={"store": str(store), "identity": "X-Correlation-Id", "required": ["unsafe"],
-                         "best_effort": ["keyed"]})
+    folder = tempfile.TemporaryDirectory(prefix="minthitch-")
+    store = Path(folder.name) / "record.db"
+    return front(folder, record={"store": str(store), "identity": "X-Correlation-Id",
+                                 "required": ["unsafe"], "best_effort": ["keyed"]})
 
 
 FRONTS: dict[str, Callable[[], Front]] = {
--- a/rigs/process.py
+++ b/rigs/process.py
@@ -6,6 +6,7 @@
 import json
 import os
 import signal
+import socket
 import sys
 import tempfile
 from collections import deque
@@ -18,12 +19,9 @@
 ROOT = Path(__file__).parent.parent
 
 
-async def free_port() -> int:
-    probe = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
-    port = int(probe.sockets[0].getsockname()[1])
-    probe.close()
-    await probe.wait_closed()
-    return port
+def free_port() -> int:
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        return int(listener.getsockname()[1])
 
 
 class NodeProcess:
@@ -36,7 +34,7 @@
 
     async def start(self) -> None:
         """Waits until `/ready` answers 200."""
-        self.port = await free_port()
+        self.port = free_port()
         self.folder = tempfile.TemporaryDirectory()
         path = Path(self.folder.name) / "config.json"
         path.write_text(json.dumps({**self.table, "listen": f"127.0.0.1:{self.port}"}))
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -91,7 +91,7 @@
 
 @asynccontextmanager
 async def serving(*words: str) -> AsyncIterator[tuple[asyncio.subprocess.Process, int]]:
-    port = await free_port()
+    port = free_port()
     process = await asyncio.create_subprocess_exec(
         sys.executable, "-m", "minthitch", "serve", *words, "--listen", f"127.0.0.1:{port}", cwd=ROOT,
         stderr=asyncio.subprocess.PIPE)
--- a/tests/test_rough.py
+++ b/tests/test_rough.py
@@ -11,10 +11,11 @@
 
 import pytest
 
+from rigs.process import free_port
 from tests.net import (
     OK, PATIENCE, Caller, Discovery, Seen, Server, address_of, call, entry, reply, reset, rig, serve_ok)
 from tests.test_node import run
-from tests.test_service import connect, free_port, program
+from tests.test_service import connect, program
 
 NOISE = bytes(range(128, 178)) + b"\r\n\r\n"
 
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -6,7 +6,6 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 from collections.abc import AsyncIterator
@@ -16,6 +15,7 @@
 
 import pytest
 
+from rigs.process import free_port
 from tests.net import (
     OK, PATIENCE, SETTINGS, Caller, Discovery, Seen, Server, address_of, call, entry, rig, serve_ok)
 from tests.test_node import run
@@ -23,11 +23,6 @@
 ROOT = Path(__file__).parent.parent
 
 
-def free_port() -> int:
-    with socket.create_server(("127.0.0.1", 0)) as listener:
-        return int(listener.getsockname()[1])
-
-
 @asynccontextmanager
 async def program(path: Path, known: list[dict[str, Any]],
                   where: str) -> AsyncIterator[tuple[asyncio.subprocess.Process, int]]:
