--- a/bench/rivals.py
+++ b/bench/rivals.py
@@ -1,4 +1,4 @@
-"""This balancer against each rival over all scenarios: `python -m bench.rivals [--seeds N] [--jobs N] [--out DIR]`.
+"""This balancer against each rival over all scenarios: `python -m bench.rivals [--seeds N] [--jobs N]`.
 
 Prints `docs/lab/rivals.md`. Long; not for CI. Paired by seed, with 95% bootstrap intervals.
 """
@@ -22,7 +22,7 @@
 
 
 def mean(rows: Sequence[dict[str, Any]], name: str) -> float:
-    return sum(row[name] for row in rows) / len(rows)
+    return float(sum(row[name] for row in rows)) / len(rows)
 
 
 def against(rows: Rows, name: str, rival: str) -> Difference:
@@ -31,8 +31,9 @@
 
 
 def worth_table(rows: Rows, names: Sequence[str]) -> list[str]:
-    """A line a scenario; a rival's figure is bold where it is better by its interval, plain where worse."""
-    lines = ["| scenario | minthitch | " + " | ".join(RIVALS) + " |", "| --- |" + " --- |" * (len(RIVALS) + 1)]
+    """A line a scenario; a rival's figure says where it is better by its interval."""
+    lines = ["| scenario | minthitch | " + " | ".join(RIVALS) + " |",
+             "| --- |" + " --- |" * (len(RIVALS) + 1)]
     marks = {"better": "", "no difference": " =", "worse": " **wins**"}
     for name in names:
         cells = [f"{mean(rows[name, rival], 'worth'):.4f}{marks[against(rows, name, rival).word]}"
@@ -52,8 +53,8 @@
         counts = " / ".join(str(words.count(word)) for word in ("better", "no difference", "worse"))
         lines.append(
             f"| {chooser} | {mean(all_rows, 'worth'):.4f} | {mean(all_rows, 'late_share'):.4f} | "
-            f"{mean(all_rows, 'attempts_each_want'):.3f} | {sum(row['falls'] for row in all_rows)} | {broken} | "
-            f"{counts if words else ''} |")
+            f"{mean(all_rows, 'attempts_each_want'):.3f} | {sum(row['falls'] for row in all_rows)} | "
+            f"{broken} | {counts if words else ''} |")
     return lines
 
 
@@ -74,15 +75,17 @@
     sources = [f"- `{name}`: {rival.source}." for name, rival in RIVALS.items()]
     return "\n".join([
         "# This balancer against its rivals", "",
-        f"Made by `python -m bench.rivals --seeds {seeds}`; commit {made['commit']}, numpy {made['numpy']}. Each",
-        "scenario is played with the same seeds by each chooser; the rest (engine, deadlines, drain guards, lists)",
-        "is the same for all. Worth: of what clients wanted, what they got in time, by their first asking.", "",
+        f"Made by `python -m bench.rivals --seeds {seeds}`; commit {made['commit']}, numpy {made['numpy']}.",
+        "Each scenario is played with the same seeds by each chooser; the rest (engine, deadlines, drain",
+        "guards, lists) is the same for all. Worth: of what clients wanted, what they got in time, by their",
+        "first asking.", "",
         *summary(rows, names), "", "## Worth served by scenario", "",
         "`=`: no difference by the paired 95% interval; **wins**: better than ours by it.", "",
-        *worth_table(rows, names), "", "## Where it loses", "", *losses(rows, names), "",
+        *worth_table(rows, names), "",
+        "## Where it loses", "", *losses(rows, names), "",
         "## What the rivals are", "", *sources, "",
-        "They retry as the classes allow, up to three attempts, and turn nothing away by themselves: none of the",
-        "descriptions above includes admission control (Envoy's adaptive concurrency is not among them yet)."])
+        "They retry as the classes allow, up to three attempts, and turn nothing away by themselves: none",
+        "of the descriptions has admission control (Envoy's adaptive concurrency is not among them)."])
 
 
 def main() -> int:
