Lab: Envoy's adaptive concurrency as a rival, with outlier ejection

Need: none of the rivals turned anything away, so that the comparison under overload was easy for ours. Change: AdaptiveConcurrency, the gradient controller of Envoy's public description, over least request with ejection.

--- a/minthitch/lab/rivals/choosers.py
+++ b/minthitch/lab/rivals/choosers.py
@@ -21,6 +21,9 @@
 HEDGE_LATENCIES, HEDGE_LEAST = 1_000, 50  # kept for the percentile, and needed for it
 HEDGE_AT = 0.95
 PROBES, PROBE_POOL, PROBE_AGE = 3, 16, api.SECOND  # Prequal: a request, kept, and until too old
+LIMIT_CALM, LIMIT_MOST, LIMIT_CALM_COUNT = 3, 1_000, 50  # Envoy's defaults: least limit, most, requests
+LIMIT_EVERY, LIMIT_CALM_EVERY = 100 * api.MILLISECOND, 60 * api.SECOND  # between two updates; two calm times
+LIMIT_BUFFER = 1.25  # of the calm time that is let pass
 HOT_ABOVE = 0.84  # quantile of requests in flight from which a server is hot
 
 
@@ -137,6 +140,49 @@
             self.retrying.add(ask.event.request)
 
 
+class AdaptiveConcurrency(OutlierEjection):
+    """Outlier ejection, and no more requests at once than a limit that falls as answers grow slower.
+
+    The limit is multiplied by the calm time over the time now, plus its square root; the calm time is measured
+    anew each minute while few requests are let in.
+    """
+
+    name = "adaptive-concurrency"
+    source = "Envoy's documentation: the adaptive concurrency filter's gradient controller"
+
+    def __init__(self, settings: api.Settings, seed: int, world: World) -> None:
+        super().__init__(settings, seed, world)
+        self.limit = self.before = float(LIMIT_CALM)  # now, and before the calm time was last measured
+        self.calm = 0.0  # ns
+        self.sample: list[int] = []
+        self.measuring, self.measure_at, self.update_at = True, 0, 0
+
+    def _try(self, ask: Ask) -> bool:
+        if not ask.attempts and len(self.asks) > self.limit:  # this one is among them
+            self._settle(ask)
+            return False
+        return super()._try(ask)
+
+    def learn(self, upstream: Upstream, status: api.Status, latency: int) -> None:
+        super().learn(upstream, status, latency)
+        if status is api.Status.OK:
+            self.sample.append(latency)
+        if self.measuring and len(self.sample) >= LIMIT_CALM_COUNT:
+            self.calm, self.measuring = float(self._middle()), False
+            self.measure_at = self.now + LIMIT_CALM_EVERY
+            self.limit, self.sample = max(self.limit, self.before), []
+            self.update_at = self.now + LIMIT_EVERY
+        elif not self.measuring and self.now >= self.update_at and self.sample:
+            gradient = min(max(self.calm * LIMIT_BUFFER / max(self._middle(), 1), 0.5), 2.0)
+            self.limit = min(max(gradient * self.limit + math.sqrt(self.limit), LIMIT_CALM), LIMIT_MOST)
+            self.sample, self.update_at = [], self.now + LIMIT_EVERY
+            if self.now >= self.measure_at:
+                self.before, self.limit, self.measuring = self.limit, float(LIMIT_CALM), True
+
+    def _middle(self) -> int:
+        return sorted(self.sample)[len(self.sample) // 2]
+
+
 class Hedged(LeastRequest):
     """Least request of two, and a second copy once the first is later than 95% are."""
 
@@ -214,4 +260,4 @@
 
 
 RIVALS: dict[str, type[Rival]] = {rival.name: rival for rival in (
-    RoundRobin, LeastRequest, PeakEwma, BoundedHash, OutlierEjection, Hedged, Prequal)}
+    RoundRobin, LeastRequest, PeakEwma, BoundedHash, OutlierEjection, AdaptiveConcurrency, Hedged, Prequal)}
