--- a/bench/rivals.py
+++ b/bench/rivals.py
@@ -84,8 +84,8 @@
         *worth_table(rows, names), "",
         "## Where it loses", "", *losses(rows, names), "",
         "## What the rivals are", "", *sources, "",
-        "They retry as the classes allow, up to three attempts. Only `adaptive-concurrency` turns requests away",
-        "by itself; as described, it does not say when to come back."])
+        "They retry as the classes allow, up to three attempts. Only `adaptive-concurrency` turns requests",
+        "away by itself; as described, it does not say when to come back."])
 
 
 def main() -> int:
--- a/minthitch/lab/rivals/choosers.py
+++ b/minthitch/lab/rivals/choosers.py
@@ -141,10 +141,10 @@
 
 
 class AdaptiveConcurrency(OutlierEjection):
-    """Outlier ejection, and no more requests at once than a limit that falls as answers grow slower.
+    """Outlier ejection, and no more requests at once than a limit that falls as answers slow down.
 
-    The limit is multiplied by the calm time over the time now, plus its square root; the calm time is measured
-    anew each minute while few requests are let in.
+    The limit is multiplied by the calm time over the time now, plus its square root; the calm time is
+    measured anew each minute while few requests are let in.
     """
 
     name = "adaptive-concurrency"
