--- a/bench/rivals.py
+++ b/bench/rivals.py
@@ -71,14 +71,15 @@
 
 
 def document(rows: Rows, names: Sequence[str], seeds: int) -> str:
-    made = rows[names[0], OURS][0]["made_with"]
+    each = [row["made_with"] for part in rows.values() for row in part]
+    commits, numbers = (", ".join(sorted({made[key] for made in each})) for key in ("commit", "numpy"))
     sources = [f"- `{name}`: {rival.source}." for name, rival in RIVALS.items()]
     return "\n".join([
         "# This balancer against its rivals", "",
-        f"Made by `python -m bench.rivals --seeds {seeds}`; commit {made['commit']}, numpy {made['numpy']}.",
+        f"Made by `python -m bench.rivals --seeds {seeds}`; commit {commits}, numpy {numbers}.",
         "Each scenario is played with the same seeds by each chooser; the rest (engine, deadlines, drain",
         "guards, lists) is the same for all. Worth: of what clients wanted, what they got in time, by their",
-        "first asking.", "",
+        "first asking. With few seeds an interval is hardly more than their range.", "",
         *summary(rows, names), "", "## Worth served by scenario", "",
         "`=`: no difference by the paired 95% interval; **wins**: better than ours by it.", "",
         *worth_table(rows, names), "",
