--- a/minthitch/lab/crowd.py
+++ b/minthitch/lab/crowd.py
@@ -11,7 +11,7 @@
 from minthitch.lab.network import Network
 from minthitch.lab.nodes import LabNode
 from minthitch.lab.scenario import Load, span
-from minthitch.lab.streams import Stream
+from minthitch.lab.streams import Stream, edges
 from minthitch.lab.tally import Tally
 
 LOST_AFTER = 2  # round trips until a client hears that its node is dead
@@ -81,13 +81,9 @@
         names = {spec.name: i for i, spec in enumerate(settings.classes)}
         rows = [(names[row.name], row.share, row.work) for row in load.mix] or [
             (i, 1.0, 1.0) for i in range(len(settings.classes))]
-        total, edge = sum(share for _, share, _ in rows), 0.0
         self.classes = [cls for cls, _, _ in rows]
         self.works = [work for _, _, work in rows]
-        self.edges: list[float] = []
-        for _, share, _ in rows:
-            edge += share / total
-            self.edges.append(edge)
+        self.edges = edges([share for _, share, _ in rows])
         self.think, self.backoff = span(load.think), span(load.backoff)
         self.top = load.rate * max([1.0, *(multiple for _, multiple in load.profile)])
         self.words: Counter[str] = Counter()
--- a/minthitch/lab/discovery.py
+++ b/minthitch/lab/discovery.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import replace
 from typing import Protocol
 
 from minthitch.interface import MILLISECOND, ListKind
@@ -81,7 +80,7 @@
 
     def thaw(self) -> None:
         self.shown = None
-        self._tell(replace(self.whole()))
+        self._tell(self.whole())
 
     def fall_silent(self) -> None:
         """It answers nobody; those who watched hear that the watch broke."""
--- a/minthitch/lab/load.py
+++ b/minthitch/lab/load.py
@@ -18,7 +18,7 @@
 from minthitch.config import ConfigError
 from minthitch.interface import SECOND, Effect, RequestClass
 from minthitch.lab.scenario import Scenario
-from minthitch.lab.streams import Streams
+from minthitch.lab.streams import Streams, edges
 from minthitch.lab.tally import DIGITS, LONGEST
 
 MOST_OUT = 2_000  # requests out at once: one over it is counted as not sent
@@ -121,11 +121,7 @@
         names = [spec.name for spec in self.classes]
         rows = [(names.index(row.name), row.share) for row in self.load.mix] or [
             (i, 1.0) for i in range(len(names))]
-        total, edge = sum(share for _, share in rows), 0.0
-        self.rows, self.edges = [cls for cls, _ in rows], list[float]()
-        for _, share in rows:
-            edge += share / total
-            self.edges.append(edge)
+        self.rows, self.edges = [cls for cls, _ in rows], edges([share for _, share in rows])
 
     def _data(self, number: int, spec: RequestClass) -> bytes:
         method = "GET" if spec.effect is Effect.SAFE else "POST"
--- a/minthitch/lab/rivals/base.py
+++ b/minthitch/lab/rivals/base.py
@@ -25,13 +25,13 @@
 class Upstream:
     """One server as a rival sees it."""
 
-    __slots__ = ("entry", "open", "figure", "figure_at", "failures", "ejected_until", "ejections", "used_at")
+    __slots__ = ("entry", "open", "figure", "figure_at", "failures", "ejected_until", "ejections")
 
     def __init__(self, entry: api.ServerEntry) -> None:
         self.entry = entry
         self.open = 0
         self.figure, self.figure_at = 0.0, 0  # of the rival's own kind
-        self.failures, self.ejected_until, self.ejections, self.used_at = 0, 0, 0, 0
+        self.failures, self.ejected_until, self.ejections = 0, 0, 0
 
 
 class Ask:
@@ -153,7 +153,6 @@
 
     def send(self, ask: Ask, upstream: Upstream) -> None:
         upstream.open += 1
-        upstream.used_at = self.now
         ask.attempts.append((upstream.entry.server, self.now))
         self.actions.append(api.Send(ask.event.request, upstream.entry.server))
         self.sent(ask, upstream)
--- a/minthitch/lab/servers.py
+++ b/minthitch/lab/servers.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from minthitch.interface import SECOND, Status
+from minthitch.interface import Status
 from minthitch.lab.heap import Heap
 from minthitch.lab.ledger import Ledger
 from minthitch.lab.scenario import Tier, span
@@ -24,7 +24,7 @@
 class Job:
     """A request at a server."""
 
-    __slots__ = ("number", "cls", "deadline", "work", "reply", "gone", "worth")
+    __slots__ = ("number", "cls", "deadline", "work", "reply", "gone")
 
     def __init__(self, number: int, cls: int, deadline: int, work: int,
                  reply: Callable[[Status], None]) -> None:
@@ -142,7 +142,3 @@
         self.stop()
         self.up, self.silent, self.factor, self.errors = True, False, 1.0, 0.0
         self.born = self.heap.time
-
-    @property
-    def seconds_busy(self) -> float:
-        return self.work_done / SECOND
--- a/minthitch/lab/streams.py
+++ b/minthitch/lab/streams.py
@@ -60,6 +60,12 @@
         return [left.pop(self.below(len(left))) for _ in range(min(most, count))]
 
 
+def edges(shares: list[float]) -> list[float]:
+    """Cumulative weights that end at 1, for `Stream.pick`."""
+    total = sum(shares)
+    return [sum(shares[:i + 1]) / total for i in range(len(shares))]
+
+
 class Streams:
     """All streams of one run."""
 
