Staff call the node, read its figures, send clients away; one process replaces another

Change: admin/ (desk without I/O, its listener), counts in the engine where each request ends and each attempt is written, net/door.py (when clients are wanted, accepted, kept), SO_REUSEPORT, and net/succession.py, by which two processes of one node share the descriptors and the old one stops listening at once, its queue emptied. Ruled out for the lost requests: deadlines and answers at the end; they were connections that died with the process that could not bind, and clients still sent to a drained node.

--- /dev/null
+++ b/minthitch/admin/figures.py
@@ -0,0 +1,25 @@
+"""The node's figures as lines of text. No I/O; the names are the operators' own."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from minthitch.engine.counts import Figures
+
+PREFIX = "edge_balancer"
+
+
+def _escaped(text: str) -> str:
+    return text.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
+
+
+def lines(figures: Figures) -> Iterator[str]:
+    """One figure a line; counts carry the class they are of."""
+    counts = figures.counts
+    for name, table in (("success", counts.served), ("busy", counts.refused), ("failure", counts.failed)):
+        for cls, count in zip(figures.classes, table, strict=True):
+            yield f'{PREFIX}_{name}{{tier="{_escaped(cls)}"}} {count}'
+    yield f"{PREFIX}_backend_calls {counts.sends}"
+    yield f"{PREFIX}_inflight {figures.inflight}"
+    yield f"{PREFIX}_hosts_listed {figures.listed}"
+    yield f"{PREFIX}_hosts_down {figures.down}"
--- a/minthitch/config.py
+++ b/minthitch/config.py
@@ -49,6 +49,8 @@
     settings: api.Settings
     record: RecordConfig | None = None
     operators: tuple[str, int] | None = None  # where operators ask; None = no such listener
+    admin: tuple[str, int] | None = None  # where staff call, one line a connection; None = nowhere
+    handover: str = ""  # folder where a process that replaces another finds it; "" = none is replaced
 
 
 def _text(table: Mapping[str, Any], name: str, environ: Mapping[str, str]) -> str:
@@ -101,13 +103,15 @@
 def from_table(table: Mapping[str, Any], environ: Mapping[str, str]) -> Config:
     """A node's configuration from its decoded JSON. Raises ConfigError."""
     sockets = most_sockets(table)
+    admin = table.get("admin") or environ.get("BALANCER_ADMIN")
     try:
         discovery = "" if "servers" in table else _text(table, "discovery", environ)
         if discovery:
             parse_address(discovery)
         return Config(_text(table, "name", environ), parse_address(_text(table, "listen", environ)),
                       discovery, seed_of(table), sockets, known_servers(table),
-                      settings.from_object(table.get("settings")))
+                      settings.from_object(table.get("settings")),
+                      admin=parse_address(admin) if admin else None, handover=environ.get("TMPDIR", ""))
     except (ValueError, ListError) as err:
         raise ConfigError(str(err)) from None
 
--- a/minthitch/engine/attempts.py
+++ b/minthitch/engine/attempts.py
@@ -28,6 +28,7 @@
     @property
     def clock(self) -> Clock: ...
     def may_write(self, request: Request, server: Server) -> bool: ...
+    def sent(self) -> None: ...
     def ended(self, attempt: Attempt) -> None: ...
 
 
@@ -73,6 +74,10 @@
         """Whether bytes of the request may still go to the server, now."""
         return self.engine.may_write(self.request, self.server)
 
+    def wrote(self) -> None:
+        """Its last byte has left for the server; told once by its carrier."""
+        self.engine.sent()
+
     def end(self, status: api.Status, answer: Served | None = None) -> None:
         """Ends the attempt, once; what its carrier still holds of it is dropped."""
         if self.status is not None:
--- a/minthitch/engine/calls.py
+++ b/minthitch/engine/calls.py
@@ -18,6 +18,11 @@
         self.status = status
         self.retry_after = retry_after  # ns after which asking again makes sense; 0 = not stated
 
+    @property
+    def refusal(self) -> bool:
+        """Whether it tells its sender that trying again is harmless."""
+        return self.status in (429, 503)
+
 
 class Message:
     """A request as it goes on to a server, without the time that is left."""
--- a/minthitch/engine/core.py
+++ b/minthitch/engine/core.py
@@ -14,6 +14,7 @@
 from minthitch.engine.attempts import Asker, Attempt, Request
 from minthitch.engine.calls import Answer, Call, Failed, Refused, Rejected, Served
 from minthitch.engine.clock import Clock
+from minthitch.engine.counts import Counts
 from minthitch.engine.fleet import Fleet, Server
 from minthitch.engine.ports import Carrier, Decider, Keeper, Source
 from minthitch.listing import Listing
@@ -41,6 +42,7 @@
         self.carrier: Carrier | None = None
         self.source: Source | None = None
         self.keeper: Keeper | None = None
+        self.counts = Counts(len(settings.classes))
         self.events: deque[api.Event] = deque()
         self.pumping = False
         self.requests: dict[int, Request] = {}
@@ -109,6 +111,13 @@
 
     def admit(self, asker: Asker, call: Call, *, full: bool = False) -> Request:
         """Takes a call; its asker hears one answer by its deadline. Raises Rejected where it is not taken."""
+        try:
+            return self._take(asker, call, full)
+        except Rejected as err:
+            self.counts.rejected(call.cls, err)
+            raise
+
+    def _take(self, asker: Asker, call: Call, full: bool) -> Request:
         now, spec = self.clock.now(), self.settings.classes[call.cls]
         if call.identity in self.ids:  # danger: servers would take the two for one
             raise Rejected(409, "the id of an open request")
@@ -189,6 +198,7 @@
             self._look_idle()
 
     def _hand_over(self, request: Request, answer: Answer) -> None:
+        self.counts.answered(request.call.cls, answer)
         try:
             request.asker.answer(request.call, answer)
         except Exception as err:  # danger: a front's fault must not stop the others' answers
@@ -249,6 +259,10 @@
         drained = server.told and now >= server.told + self.settings.drain_grace
         return not request.over and now < request.deadline and not drained
 
+    def sent(self) -> None:
+        """What `Attempt.wrote` tells."""
+        self.counts.sends += 1
+
     def ended(self, attempt: Attempt) -> None:
         """What `Attempt.end` tells."""
         assert attempt.status is not None
@@ -270,6 +284,12 @@
             if attempt is not None:
                 attempt.end(api.Status.CANCELLED)
 
+    def avoided(self) -> int:
+        """Servers of the list that get nothing now, or as good as nothing."""
+        told = sum(1 for server in self.fleet.servers.values() if server.told)
+        balancer = self.balancer
+        return told + (balancer.avoided(self.clock.now()) if isinstance(balancer, Balancer) else 0)
+
     # Lists and the end --------------------------------------------------------------------------
 
     def listed(self, listing: Listing, kind: api.ListKind) -> None:
--- a/minthitch/net/callers.py
+++ b/minthitch/net/callers.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import select
 import time
 from collections import deque
+from collections.abc import Mapping
 from typing import Protocol, cast
 
 import httptools
@@ -19,6 +21,7 @@
 MOST_WAITING = 16  # pipelined requests of one caller that are read ahead of the one in work
 SLICE = 4 * 1024  # bytes parsed at once where requests are pipelined
 SWEEP = 0.25  # seconds between two looks at all connections
+YOUNG = 0.25  # seconds that a connection without a request stays at least: its first may be on the way
 SILENT = 2.0  # seconds after which a connection that has asked nothing is closed
 HALF = 2.5  # seconds for a whole request, from the connection or from its first byte: 3 are owed
 UNREAD = 5.0  # seconds without progress after which a caller that does not take its answers is cut off
@@ -43,8 +46,10 @@
 class Host(Protocol):
     """What a caller's connection needs of the node."""
 
-    draining: bool
-
+    @property
+    def wanted(self) -> bool: ...
+    def keeps_idle(self) -> bool: ...
+    def turned_away(self, fields: Mapping[bytes, bytes], err: Rejected) -> None: ...
     def check(self, item: Incoming) -> None: ...
     def take(self, caller: Caller, item: Incoming) -> None: ...
     def left(self, caller: Caller) -> None: ...
@@ -117,6 +122,7 @@
     def _break(self, err: Rejected) -> None:
         """Nothing that comes behind a request that can't be taken is read."""
         self.broken, self.reading, self.unread = True, False, b""
+        self.host.turned_away(self.coming.fields, err)
         self.waiting.append(err)
 
     # What the parser calls ------------------------------------------------------------------
@@ -252,7 +258,7 @@
         if status == 405:
             head.append(b"Allow: GET, POST\r\n")
         # Danger: requests that have been read already would be dropped by a close.
-        close = not item.keep or ((self.surplus or self.host.draining) and not self.more)
+        close = not item.keep or ((self.surplus or not self.host.wanted) and not self.more)
         head.append(b"Connection: close\r\n\r\n" if close else b"\r\n")
         transport.write(b"".join(head) + (b"" if item.method == b"HEAD" else body))
         if close:
@@ -285,9 +291,21 @@
             if for_long > HALF:
                 self._break(Rejected(408, "half a request"))
                 self._next()
-        elif stopping or (not self.asked and for_long > SILENT):
+        elif (stopping or not self.asked) and for_long > (YOUNG if stopping else SILENT):
+            self._close_unless_asked()
+
+    def _close_unless_asked(self) -> None:
+        if not self._unread_bytes():
             self.close()
 
+    def _unread_bytes(self) -> bool:
+        """Danger: a close over a request that has come and is not read cuts its client off."""
+        if self.transport is None:
+            return False
+        poll = select.poll()
+        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
 
 class Callers:
     """All callers' connections, bounded in number; those without a request in the order to close them."""
@@ -300,7 +318,6 @@
         # hundreds that say nothing would push out the usual clients.
         self.idle: tuple[dict[Caller, None], ...] = ({}, {}, {})
         self.turned_away, self.last_text, self.said = 0, "", -1.0
-        self.stopping = False  # idle ones go
         self.sweeper = self.loop.call_later(SWEEP, self._sweep)
 
     def joined(self, caller: Caller) -> None:
@@ -333,6 +350,10 @@
         self.all.pop(caller, None)
         self.host.left(caller)
 
+    def taken(self) -> int:
+        """Whole requests that have come and are not answered to the end."""
+        return sum((caller.current is not None) + len(caller.waiting) for caller in self.all)
+
     def note(self, text: str) -> None:
         """Danger: a line for each would let bad clients fill the log."""
         self.turned_away += 1
@@ -344,14 +365,11 @@
             self.host.log(f"turned away {self.turned_away} requests, the last with {self.last_text}")
             self.turned_away, self.said = 0, self.loop.time()
 
-    def stop_idle(self) -> None:
-        self.stopping = True
-        self._look()
-
     def _look(self) -> None:
         now = self.loop.time()
+        stopping = not self.host.keeps_idle()
         for caller in list(self.all):
-            caller.overdue(now, self.stopping)
+            caller.overdue(now, stopping)
         self._say()
 
     def _sweep(self) -> None:
--- /dev/null
+++ b/minthitch/net/door.py
@@ -0,0 +1,62 @@
+"""Whether the node takes clients in, sends them away or ends. No I/O; times are given in, in seconds."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+AWAY_LINGER = 1.0  # seconds in which idle connections stay after a drain: those in use meet an orderly close
+ACCEPT_ON = 0.6  # seconds after SIGTERM in which new connections may still come (0.4 stated)
+SUCCEEDED_LINGER = 1.6  # seconds in which idle connections stay where another process listens
+LAST_ANSWER = 3.4  # seconds after SIGTERM by which all is answered: SIGKILL comes after 3.7 or more
+
+
+class State(Enum):
+    OPEN = "open"
+    AWAY = "away"  # clients are sent to other nodes; the process stays
+    ENDING = "ending"  # the process ends
+
+
+class Door:
+    """A state and since when it holds."""
+
+    def __init__(self) -> None:
+        self.state, self.since = State.OPEN, 0.0
+        self.succeeded = False  # another process of this node listens at the same address
+
+    def send_away(self, now: float) -> str:
+        """Gives why not, or "". Twice is once."""
+        if self.state is State.ENDING:
+            return "the process is ending"
+        if self.state is State.OPEN:
+            self.state, self.since = State.AWAY, now
+        return ""
+
+    def take_back(self, now: float) -> str:
+        """Gives why not, or ""."""
+        if self.state is State.ENDING:
+            return "the process is ending"
+        self.state, self.since = State.OPEN, now
+        return ""
+
+    def end(self, now: float) -> None:
+        if self.state is not State.ENDING:
+            self.state, self.since = State.ENDING, now
+
+    @property
+    def open(self) -> bool:
+        """Whether clients are wanted; else each answer closes its connection."""
+        return self.state is State.OPEN
+
+    def accepts(self, now: float) -> bool:
+        """Whether connections are accepted. Danger: closed too soon, what still comes is refused."""
+        if self.state is not State.ENDING:
+            return True
+        return not self.succeeded and now < self.since + ACCEPT_ON
+
+    def keeps_idle(self, now: float) -> bool:
+        """Whether a connection without a request may stay."""
+        if self.state is State.OPEN:
+            return True
+        linger = AWAY_LINGER if self.state is State.AWAY else (
+            SUCCEEDED_LINGER if self.succeeded else ACCEPT_ON)
+        return now < self.since + linger
--- a/minthitch/net/node.py
+++ b/minthitch/net/node.py
@@ -3,23 +3,28 @@
 from __future__ import annotations
 
 import asyncio
+import os
+import socket
 import sys
+from collections.abc import Mapping
 
 from minthitch import interface as api
 from minthitch.config import Config
 from minthitch.engine.calls import Message, Rejected
 from minthitch.engine.clock import LoopClock
 from minthitch.engine.core import Engine
+from minthitch.engine.counts import Figures
 from minthitch.engine.fields import Reader
 from minthitch.engine.ports import StaticSource
 from minthitch.log import LineLog
 from minthitch.net.callers import Caller, Callers, Incoming
 from minthitch.net.discovery import Discovery
+from minthitch.net.door import LAST_ANSWER, Door, State
 from minthitch.net.servers import Pool
+from minthitch.net.succession import Succession
 
-RESERVE = 48  # descriptors for the listener, the watch, files and callers to be turned away
-ACCEPT_ON = 0.6  # seconds after SIGTERM in which new connections may still come (0.4 stated)
-LAST_ANSWER = 3.4  # seconds after SIGTERM by which all is answered: SIGKILL comes after 3.7 or more
+RESERVE = 48  # descriptors for the listener, the watch, files, staff and callers to be turned away
+LOOK = 0.1  # seconds between two looks at the door while the process ends
 BACKLOG = 512
 
 
@@ -33,14 +38,16 @@
         self.engine = Engine(config.settings, config.seed, LoopClock(self.loop), self.log,
                              self._check_finished)
         self.reader = Reader(config.settings)
-        half = max((config.sockets - RESERVE) // 2, 1)
-        self.pool = self.engine.carrier = Pool(config.settings, half)
-        self.callers = Callers(self, half, half + RESERVE // 2)
+        self.door = Door()
+        self.pool = self.engine.carrier = Pool(config.settings, 1)
+        self.callers = Callers(self, 1, 1)
+        self.succession: Succession | None = None
+        self._share()
         self.discovery: Discovery | None = None
         if config.discovery:
             self.discovery = Discovery(config.discovery, self.engine, config.seed ^ 1)
         self.engine.source = self.discovery or StaticSource(config.known, self.engine.listed)
-        self.listening, self.draining = False, False
+        self.listening = False
         self.listener: asyncio.Server | None = None
         self.finished = asyncio.Event()
 
@@ -52,9 +59,25 @@
         if self.discovery is not None:
             self.discovery.start()
         host, port = self.config.listen
+        if self.config.handover:
+            self.succession = Succession(self.config.handover, f"{host}:{port}", self._share, self.log)
+            await self.succession.start()
+            self._share()
+        # Two processes may listen at the address: one replaces the other while both serve.
         self.listener = await self.loop.create_server(
-            lambda: Caller(self.callers), host, port, backlog=BACKLOG)
+            lambda: Caller(self.callers), host, port, backlog=BACKLOG, reuse_port=True)
         self.listening = True
+        if self.succession is not None:
+            self.succession.listening()
+
+    def _share(self) -> None:
+        """Danger: the limits count both processes together, so that each keeps to half of the descriptors."""
+        two = self.succession is not None and (self.succession.predecessor or self.succession.successor)
+        sockets = self.config.sockets // 2 if two else self.config.sockets
+        half = max((sockets - RESERVE) // 2, 1)
+        self.pool.most, self.callers.most, self.callers.hard = half, half, half + RESERVE // 2
+        if self.succession is not None:
+            self.door.succeeded = self.succession.successor
 
     def reload(self, config: Config) -> None:
         """Takes the new discovery, or the new static list; all else belongs to the process."""
@@ -79,22 +102,54 @@
 
     def drain(self) -> None:
         """SIGTERM: what has come, and still comes for a while, is answered; then the node ends."""
-        if not self.draining:
-            self.draining = True
+        if self.door.state is not State.ENDING:
+            self.door.end(self.loop.time())
             self.engine.drain(int(LAST_ANSWER * api.SECOND))
-            self.loop.call_later(ACCEPT_ON, self._stop_accepting)
+            self._end_in_time()
 
-    def _stop_accepting(self) -> None:
-        self.listening = False
-        if self.listener is not None:
-            self.listener.close()
-        self.callers.stop_idle()
+    def _end_in_time(self) -> None:
+        if self.finished.is_set():
+            return
+        if self.listening and not self.door.accepts(self.loop.time()):
+            self.listening = False
+            self.loop.create_task(self._stop_accepting())
         self._check_finished()
+        self.loop.call_later(LOOK, self._end_in_time)
+
+    async def _stop_accepting(self) -> None:
+        """Danger: connections in the queue of a listener that closes are cut off; they are taken first."""
+        if self.listener is None:
+            return
+        queue = socket.socket(fileno=os.dup(self.listener.sockets[0].fileno()))
+        queue.setblocking(False)
+        self.listener.close()
+        waiting = []
+        try:
+            while True:
+                waiting.append(queue.accept()[0])
+        except OSError:
+            queue.close()
+        for connection in waiting:
+            await self.loop.connect_accepted_socket(lambda: Caller(self.callers), connection)
 
     def _check_finished(self) -> None:
-        if self.draining and not self.listening and not self.callers.all and not self.engine.open:
+        ending = self.door.state is State.ENDING
+        if ending and not self.listening and not self.callers.all and not self.engine.open:
             self.finished.set()
 
+    # What staff ask -----------------------------------------------------------------------------
+
+    def send_away(self) -> str:
+        """Empties the node of clients; the process stays. Gives why not, or ""."""
+        return self.door.send_away(self.loop.time())
+
+    def take_back(self) -> str:
+        return self.door.take_back(self.loop.time())
+
+    def figures(self) -> Figures:
+        return Figures(tuple(spec.name for spec in self.settings.classes), self.engine.counts,
+                       self.callers.taken(), len(self.engine.fleet.servers), self.engine.avoided())
+
     async def stop(self) -> None:
         if self.listener is not None:
             self.listener.close()
@@ -102,11 +157,26 @@
         if self.discovery is not None:
             await self.discovery.close()
         self.pool.close()
+        if self.succession is not None:
+            self.succession.close()
 
     # What callers' connections need -------------------------------------------------------------
 
     def ready(self) -> bool:
-        return self.listening and self.engine.have_list and not self.draining
+        return self.listening and self.engine.have_list and self.door.open
+
+    @property
+    def wanted(self) -> bool:
+        return self.door.open
+
+    def keeps_idle(self) -> bool:
+        return self.door.keeps_idle(self.loop.time())
+
+    def turned_away(self, fields: Mapping[bytes, bytes], err: Rejected) -> None:
+        """Counts one that never reached the engine, where it tells its class."""
+        cls = self.reader.classes.get(fields.get(b"x-service-class", b""))
+        if cls is not None:
+            self.engine.counts.rejected(cls, err)
 
     def check(self, item: Incoming) -> None:
         """Turns away what no server could use, by its head."""
--- a/minthitch/net/servers.py
+++ b/minthitch/net/servers.py
@@ -84,10 +84,16 @@
         self.written = False
         self.transport.write(request_bytes(attempt))
         # Danger: bytes in the transport's buffer have not left; a break before they do proves it never ran.
-        self.written = self.transport.get_write_buffer_size() == 0
+        if self.transport.get_write_buffer_size() == 0:
+            self._wrote()
+
+    def _wrote(self) -> None:
+        if not self.written and self.attempt is not None:
+            self.written = True
+            self.attempt.wrote()
 
     def resume_writing(self) -> None:
-        self.written = True
+        self._wrote()
 
     def data_received(self, data: bytes) -> None:
         if self.attempt is None:  # danger: bytes nobody asked for would pass for the next request's answer
--- a/minthitch/policy.py
+++ b/minthitch/policy.py
@@ -48,6 +48,7 @@
 LOOKERS = 20.0  # nodes that look at a server if all call at once: guards against all crowding the best
 SAY_EVERY = 10 * api.SECOND  # between two log lines that begin alike
 OVERDUE = 3.0  # a call still out after this multiple of what it should take is raced by one more copy
+AVOIDED_SHARE = 0.5  # share of calls answered within the reference time below which a server is shown as down
 HOLD = api.SECOND // 10  # a request that no server may take now is tried again after this
 BACK_PART = 0.04, 0.12  # a refused client comes back after this part of its aim: it may still be in time
 ASK_PART = 0.25  # list calls are repeated within this part of the time after which the node counts as told
@@ -512,6 +513,11 @@
             s.credit, s.credit_at = min(1.0, s.credit + part * (now - s.credit_at)), now
         return [s for s, warmth in warmths if warmth >= 1.0 or s.credit >= 1.0]
 
+    def avoided(self, now: int) -> int:
+        """Ready servers that are not chosen while others are: most of their calls miss, or are overdue."""
+        return sum(1 for s in self.servers.values() if s.own.share(now) < AVOIDED_SHARE or (
+            s.open and now * s.open_rate - s.open_sent > OVERDUE * s.open * self._load(now)))
+
     def _track(self, attempt: Attempt, by: int) -> None:
         """Keep the sums over open attempts, whose age counts as time waited."""
         server = attempt.server
--- a/minthitch/program.py
+++ b/minthitch/program.py
@@ -45,6 +45,11 @@
 
         pages = recording.pages() if recording is not None else {}
         listener = await open_listener(config.operators, pages, node.log)
+    desk = None
+    if config.admin is not None:
+        from minthitch.admin.listener import open_desk
+
+        desk = await open_desk(config.admin, node, node.log)
     loop = asyncio.get_running_loop()
     loop.set_exception_handler(lambda _loop, context: node.log(
         f"{context.get('message')}: {context.get('exception')!r}"))
@@ -55,6 +60,8 @@
     gc.collect()
     gc.freeze()  # what is here now stays; the collector need not walk it
     await node.finished.wait()
+    if desk is not None:
+        desk.close()
     if listener is not None:
         await listener.close()
     if recording is not None:
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -9,14 +9,15 @@
 ROOT = Path(__file__).parent.parent
 DEFAULT_START = {
     "minthitch", "minthitch.config", "minthitch.engine", "minthitch.engine.attempts",
-    "minthitch.engine.calls", "minthitch.engine.clock", "minthitch.engine.core", "minthitch.engine.fields",
+    "minthitch.engine.calls", "minthitch.engine.clock", "minthitch.engine.core", "minthitch.engine.counts",
+    "minthitch.engine.fields",
     "minthitch.engine.fleet", "minthitch.engine.ports", "minthitch.interface", "minthitch.listing",
     "minthitch.log", "minthitch.net", "minthitch.net.callers", "minthitch.net.discovery",
-    "minthitch.net.node", "minthitch.net.servers", "minthitch.policy", "minthitch.program",
-    "minthitch.settings",
+    "minthitch.net.door", "minthitch.net.node", "minthitch.net.servers", "minthitch.net.succession",
+    "minthitch.policy", "minthitch.program", "minthitch.settings",
 }
-NEVER = ("minthitch.operators", "minthitch.record", "starlette", "fastapi", "httpx", "rich", "argparse",
-         "sqlite3")
+NEVER = ("minthitch.admin", "minthitch.operators", "minthitch.record", "starlette", "fastapi", "httpx",
+         "rich", "argparse", "sqlite3")
 
 
 def _modules(code: str) -> set[str]:
--- /dev/null
+++ b/tests/test_operation.py
@@ -0,0 +1,246 @@
+"""Daily operation: the staff's calls and figures, clients sent away, one process after another."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import socket
+import tempfile
+from collections.abc import Callable, Coroutine
+from dataclasses import replace
+from typing import Any
+
+import pytest
+import uvloop
+
+from minthitch.admin.desk import CALLS, answer
+from minthitch.admin.listener import MOST_CONNECTIONS, MOST_LINE, Desk
+from minthitch.engine.calls import Failed, Refused, Rejected, Served
+from minthitch.engine.counts import Counts, Figures
+from minthitch.net.door import ACCEPT_ON, AWAY_LINGER, SUCCEEDED_LINGER, Door, State
+from minthitch.net.node import Node
+from minthitch.net.succession import Succession
+from tests.net import PATIENCE, SETTINGS, Caller, Rig, Seen, call, config, reply, rig, serve_ok
+
+READY = b"GET /ready HTTP/1.1\r\n\r\n"
+
+
+def run(test: Callable[..., Coroutine[Any, Any, None]], *args: Any) -> None:
+    async def limited() -> None:
+        async with asyncio.timeout(3 * PATIENCE):
+            await test(*args)
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(limited())
+
+
+# The desk, without sockets ----------------------------------------------------------------------
+
+
+class Desked:
+    """A node by hand."""
+
+    def __init__(self) -> None:
+        self.up, self.door = True, Door()
+        self.counts = Counts(2)
+
+    def ready(self) -> bool:
+        return self.up and self.door.open
+
+    def figures(self) -> Figures:
+        return Figures(("a", 'b"\\'), self.counts, 7, 5, 1)
+
+    def send_away(self) -> str:
+        return self.door.send_away(1.0)
+
+    def take_back(self) -> str:
+        return self.door.take_back(2.0)
+
+
+def test_each_call_is_answered_in_a_line_that_begins_with_done_or_error() -> None:
+    node = Desked()
+    said = [answer(line, node) for line in
+            (b"ready", b"drain", b"drain\r", b"ready", b" resume ", b"ready", b"", b"halt", b"drain now")]
+    assert [text.split()[0] for text in said] == [
+        "done", "done", "done", "error", "done", "done", "error", "error", "error"]
+    assert all("\n" not in text for text in said)
+    assert node.ready()  # the call with a word too many changed nothing
+    assert "'halt'" in said[7] and all(name in said[7] for name in CALLS)
+
+
+def test_figures_name_each_class_and_end_with_a_line_of_their_own() -> None:
+    node = Desked()
+    for outcome in (Served(), Served(), Refused(), Failed()):
+        node.counts.answered(0, outcome)
+    node.counts.rejected(1, Rejected(503, "full"))
+    node.counts.rejected(1, Rejected(409, "open"))
+    node.counts.sends = 4
+    assert answer(b"show-stat", node).split("\n") == [
+        'edge_balancer_success{tier="a"} 2', 'edge_balancer_success{tier="b\\"\\\\"} 0',
+        'edge_balancer_busy{tier="a"} 1', 'edge_balancer_busy{tier="b\\"\\\\"} 1',
+        'edge_balancer_failure{tier="a"} 1', 'edge_balancer_failure{tier="b\\"\\\\"} 1',
+        "edge_balancer_backend_calls 4", "edge_balancer_inflight 7", "edge_balancer_hosts_listed 5",
+        "edge_balancer_hosts_down 1", "end"]
+
+
+@pytest.mark.parametrize(("deeds", "at", "accepts", "keeps", "wanted"), [
+    ("", 9.0, True, True, True),
+    ("away", AWAY_LINGER - 0.1, True, True, False),
+    ("away", AWAY_LINGER + 0.1, True, False, False),
+    ("away back", 9.0, True, True, True),
+    ("end", 0.1, True, True, False),
+    ("end", ACCEPT_ON + 0.1, False, False, False),
+    ("end away back", 0.1, True, True, False),  # the end is final
+    ("succeeded end", 0.0, False, True, False),
+    ("succeeded end", ACCEPT_ON + 0.1, False, True, False),
+    ("succeeded end", SUCCEEDED_LINGER + 0.1, False, False, False),
+    ("succeeded away", 0.5, True, True, False),
+])
+def test_the_door_by_state_and_time(deeds: str, at: float, accepts: bool, keeps: bool, wanted: bool) -> None:
+    door = Door()
+    for deed in deeds.split():
+        if deed == "succeeded":
+            door.succeeded = True
+        else:
+            {"away": door.send_away, "back": door.take_back, "end": door.end}[deed](0.0)
+    assert (door.accepts(at), door.keeps_idle(at), door.open) == (accepts, keeps, wanted)
+    if door.state is State.ENDING:
+        assert door.send_away(at) and door.take_back(at)
+
+
+# The desk on sockets ----------------------------------------------------------------------------
+
+
+async def _visit(port: int, data: bytes) -> bytes:
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(data)
+    text = await reader.read()
+    writer.close()
+    return text
+
+
+async def _desk() -> None:
+    desk = Desk(Desked(), lambda text: None)
+    await desk.start("127.0.0.1", 0)
+    silent = [await asyncio.open_connection("127.0.0.1", desk.port) for _ in range(3 * MOST_CONNECTIONS)]
+    assert await _visit(desk.port, b"ready\n") == b"done ready\n"
+    assert len(desk.visits) <= MOST_CONNECTIONS
+    assert (await _visit(desk.port, b"show-stat\nmore\n")).endswith(b"\nend\n")
+    assert (await _visit(desk.port, b"x" * (MOST_LINE + 1))).startswith(b"error ")
+    for _, writer in silent:
+        writer.close()
+    desk.close()
+
+
+def test_visitors_that_say_nothing_keep_nobody_out() -> None:
+    run(_desk)
+
+
+# The node's own figures, and clients sent away --------------------------------------------------
+
+
+async def _figures() -> None:
+    async def script(seen: Seen) -> bytes:
+        return reply(500) if len(r.sends) == 1 else b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+
+    async with rig(script, script) as r:
+        for cls in ("unsafe", "unsafe", "safe"):
+            await r.ask(call(cls))
+        await r.ask(call("unsafe").replace(b"POST", b"GET", 1))
+        figures = r.node.figures()
+        counts = dict(zip(figures.classes, zip(
+            figures.counts.served, figures.counts.refused, figures.counts.failed, strict=True), strict=True))
+        assert counts["unsafe"] == (1, 0, 2) and counts["safe"] == (1, 0, 0)
+        assert figures.counts.sends == len(r.sends) == 3
+        assert (figures.inflight, figures.listed, figures.down) == (0, 2, 0)
+        r.discovery.change({**r.discovery.hosts[0], "health": "draining"})
+        await r.until(lambda: r.node.figures().down == 1)
+
+
+def test_the_figures_are_what_the_peers_saw() -> None:
+    run(_figures)
+
+
+async def _closed(caller: Caller) -> None:
+    assert await caller.reader.read() == b""
+
+
+async def _away() -> None:
+    async with rig(serve_ok) as r:
+        idle, used = await r.caller(), await r.caller()
+        for caller in (idle, used):
+            assert (await caller.ask(call("safe")))[0] == 200
+        assert r.node.send_away() == ""
+        assert (await r.ask(READY))[0] == 503
+        status, head, _ = await used.ask(call("safe"))  # one that comes all the same is served
+        assert status == 200 and b"Connection: close" in head
+        await _closed(used)
+        await _closed(idle)
+        assert r.node.take_back() == ""
+        kept = await r.caller()
+        assert (await kept.ask(READY))[0] == 200
+        assert b"Connection: close" not in (await kept.ask(call("safe")))[1]
+
+
+def test_clients_sent_away_are_answered_then_closed_and_taken_back() -> None:
+    run(_away)
+
+
+# One process after another ----------------------------------------------------------------------
+
+
+async def _successor(r: Rig, folder: str, port: int) -> Node:
+    node = Node(replace(config(SETTINGS, r.node.config.discovery, r.discovery.hosts),
+                        listen=("127.0.0.1", port), handover=folder))
+    await node.start()
+    return node
+
+
+async def _replaced() -> None:
+    with tempfile.TemporaryDirectory() as folder, socket.create_server(("127.0.0.1", 0)) as probe:
+        port = probe.getsockname()[1]
+        probe.close()
+        async with rig(serve_ok) as r:
+            old = await _successor(r, folder, port)
+            most = old.pool.most
+            kept = Caller(*await asyncio.open_connection("127.0.0.1", port))
+            assert (await kept.ask(call("safe")))[0] == 200
+            new = await _successor(r, folder, port)
+            await r.until(lambda: old.door.succeeded)
+            assert old.pool.most + new.pool.most <= most  # both together keep to the limits
+            old.drain()
+            assert not old.listening  # at once: the new one listens
+            status, head, _ = await kept.ask(call("safe"))
+            assert status == 200 and b"Connection: close" in head
+            for _ in range(20):
+                fresh = Caller(*await asyncio.open_connection("127.0.0.1", port))
+                assert (await fresh.ask(READY))[0] == 200
+                fresh.writer.close()
+            await old.finished.wait()
+            await old.stop()
+            await r.until(lambda: new.pool.most == most)
+            await new.stop()
+
+
+def test_a_process_is_replaced_without_a_refused_or_unread_request() -> None:
+    run(_replaced)
+
+
+async def _left_over() -> None:
+    with tempfile.TemporaryDirectory() as folder:
+        one = Succession(folder, "a", lambda: None, lambda text: None)
+        await one.start()
+        one.close()  # as a killed process leaves it: the socket's file is still there
+        assert os.listdir(folder)
+        said: list[str] = []
+        two = Succession(folder, "a", lambda: None, said.append)
+        await two.start()
+        assert not two.predecessor and not said
+        long = Succession(folder, "a" * 200, lambda: None, said.append)
+        await long.start()
+        assert len(said) == 1 and "too long" in said[0]
+        two.close()
+
+
+def test_the_socket_of_a_dead_process_is_taken_over() -> None:
+    run(_left_over)
