Long bodies both ways: uploads held within one sum, answers passed on at their callers' pace

Change: engine/stream.py (a body on its way, each side paused by the other), answers over 64 KiB are told by their first bytes and passed on; net/uploads.py decides without I/O whose long body may be read within one sum; a body may come at 16 kB a second, and not stop for 5 s; values are stripped; a break on the way cuts the caller, who sees it is not whole. What is kept on record, and the library, have whole answers to 1 MiB as before. Ruled out: memory (38 of 80 MB) and CPU. The property test of the room found a lost grant and a deadlock of part-read bodies.

--- a/minthitch/config.py
+++ b/minthitch/config.py
@@ -14,6 +14,8 @@
 
 NO_SERVERS = Listing(0, True, ())
 MOST_SOCKETS = 1024
+MOST_MEMORY = 192 * 1024 * 1024  # bytes, where nothing else is said
+MIB = 1024 * 1024
 
 
 class ConfigError(Exception):
@@ -50,6 +52,7 @@
     record: RecordConfig | None = None
     operators: tuple[str, int] | None = None  # where operators ask; None = no such listener
     admin: tuple[str, int] | None = None  # where staff call, one line a connection; None = nowhere
+    memory: int = MOST_MEMORY  # bytes for the process
     handover: str = ""  # folder where a process that replaces another finds it; "" = none is replaced
 
 
@@ -93,6 +96,14 @@
     return min(sockets, MOST_SOCKETS)
 
 
+def memory_of(table: Mapping[str, Any]) -> int:
+    limits = table.get("limits") or {}
+    memory = limits.get("memory_mb", MOST_MEMORY // MIB) if isinstance(limits, dict) else None
+    if isinstance(memory, bool) or not isinstance(memory, (int, float)) or not 1 <= memory < 1e9:
+        raise ConfigError(f"limits.memory_mb is not a number of 1 or more: {memory!r}")
+    return min(int(memory * MIB), MOST_MEMORY)
+
+
 def seed_of(table: Mapping[str, Any]) -> int:
     try:
         return int(str(table.get("seed", "0")), 16)
@@ -111,7 +122,8 @@
         return Config(_text(table, "name", environ), parse_address(_text(table, "listen", environ)),
                       discovery, seed_of(table), sockets, known_servers(table),
                       settings.from_object(table.get("settings")),
-                      admin=parse_address(admin) if admin else None, handover=environ.get("TMPDIR", ""))
+                      admin=parse_address(admin) if admin else None, memory=memory_of(table),
+                      handover=environ.get("TMPDIR", ""))
     except (ValueError, ListError) as err:
         raise ConfigError(str(err)) from None
 
--- a/minthitch/engine/attempts.py
+++ b/minthitch/engine/attempts.py
@@ -28,6 +28,7 @@
     @property
     def clock(self) -> Clock: ...
     def may_write(self, request: Request, server: Server) -> bool: ...
+    def may_stream(self, request: Request) -> bool: ...
     def sent(self) -> None: ...
     def ended(self, attempt: Attempt) -> None: ...
 
@@ -74,6 +75,11 @@
         """Whether bytes of the request may still go to the server, now."""
         return self.engine.may_write(self.request, self.server)
 
+    @property
+    def may_stream(self) -> bool:
+        """Whether `end` may be given an answer with a rest that is still to come."""
+        return self.engine.may_stream(self.request)
+
     def wrote(self) -> None:
         """Its last byte has left for the server; told once by its carrier."""
         self.engine.sent()
--- a/minthitch/engine/calls.py
+++ b/minthitch/engine/calls.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from minthitch.engine.stream import Stream
 from minthitch.interface import SECOND
 
 Fields = tuple[tuple[bytes, bytes], ...]  # names in lower case or as they came, values
@@ -38,23 +39,26 @@
 class Call:
     """A call to the engine: who it is, what the decisions need to know of it, and its message."""
 
-    __slots__ = ("identity", "cls", "message", "left", "heard", "tenant", "key", "cost", "repeat")
+    __slots__ = ("identity", "cls", "message", "left", "heard", "tenant", "key", "cost", "repeat",
+                 "streams")
 
     def __init__(self, identity: bytes, cls: int, message: Message, *, left: int | None = None,
                  heard: int = 0, tenant: int = 0, key: int = 0, cost: int = 0,
-                 repeat: bool = False) -> None:
+                 repeat: bool = False, streams: bool = False) -> None:
         self.identity, self.cls, self.message = identity, cls, message
         self.left = left  # ns that the asker waits, counted from `heard`; None = the class's deadline
         self.heard = heard  # when its last byte came, on the monotonic clock; 0 = now
         self.tenant, self.key, self.cost, self.repeat = tenant, key, cost, repeat
+        self.streams = streams  # its asker takes a long answer in parts, as they come
 
 
 @dataclass(frozen=True, slots=True)
 class Served:
-    """A server's good answer, unchanged."""
+    """A server's good answer, unchanged. Where there is a `rest`, `body` is the first part."""
 
     body: bytes = b""
     fields: Fields = ()
+    rest: Stream | None = None
 
     @property
     def content_type(self) -> bytes:
--- a/minthitch/engine/core.py
+++ b/minthitch/engine/core.py
@@ -198,11 +198,17 @@
             self._look_idle()
 
     def _hand_over(self, request: Request, answer: Answer) -> None:
-        self.counts.answered(request.call.cls, answer)
+        rest, cls = answer.rest if isinstance(answer, Served) else None, request.call.cls
+        if rest is None:
+            self.counts.answered(cls, answer)
+        else:
+            rest.settled = lambda whole: self.counts.passed(cls, whole)
         try:
             request.asker.answer(request.call, answer)
         except Exception as err:  # danger: a front's fault must not stop the others' answers
             self.log_error("an answer was not taken", err)
+            if rest is not None:
+                rest.drop()
 
     def _over(self, request: Request) -> None:
         request.over = True
@@ -263,6 +269,10 @@
         """What `Attempt.wrote` tells."""
         self.counts.sends += 1
 
+    def may_stream(self, request: Request) -> bool:
+        """Whether an answer may be passed on before it is whole; what is kept on record may not."""
+        return request.call.streams and self.keeper is None
+
     def ended(self, attempt: Attempt) -> None:
         """What `Attempt.end` tells."""
         assert attempt.status is not None
@@ -272,6 +282,9 @@
             self.keeper.over(attempt)
         if attempt.status is api.Status.OK and not request.over:
             self._answer(request, attempt.answer or Served())
+        elif attempt.answer is not None and attempt.answer.rest is not None:
+            attempt.answer.rest.drop()
+        attempt.answer = None  # danger: its body would stay until the last of a race has ended
         event = api.AttemptEnded(request.number, attempt.index, attempt.server.number, attempt.status,
                                  self.clock.now() - attempt.started, request.over)
         self._forget(request)
--- a/minthitch/engine/counts.py
+++ b/minthitch/engine/counts.py
@@ -24,10 +24,9 @@
     def rejected(self, cls: int, err: Rejected) -> None:
         (self.refused if err.refusal else self.failed)[cls] += 1
 
-    def cut_short(self, cls: int) -> None:
-        """An answer that was told as served could not be passed on whole."""
-        self.served[cls] -= 1
-        self.failed[cls] += 1
+    def passed(self, cls: int, whole: bool) -> None:
+        """An answer that was passed on in parts has come to its end."""
+        (self.served if whole else self.failed)[cls] += 1
 
 
 @dataclass(frozen=True, slots=True)
--- a/minthitch/net/callers.py
+++ b/minthitch/net/callers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import io
 import select
 import time
 from collections import deque
@@ -15,11 +16,18 @@
 from minthitch.engine.calls import Answer, Call, Refused, Rejected, Served
 from minthitch.engine.attempts import Request
 from minthitch.engine.fields import MOST_BODY, NOT_FORWARDED
+from minthitch.engine.stream import Stream
+from minthitch.net.uploads import STEP, Room
 
 MOST_HEAD = 32 * 1024  # bytes of a request in front of its body
-MOST_RAW = 256 * 1024  # bytes of a whole request as it comes, chunk framing and trailers included
+MOST_FRAME = 256 * 1024  # bytes of a request behind its head that are not its body: framing, trailers
+FRAME_PART = 8  # and as many for each byte of the body: one byte may be a chunk of its own
+LONGEST_BODY = 64 * 1024 * 1024  # bytes: 32 MB are stated
+SLOWEST = 16 * 1024  # bytes a second at which a body must come, on average, beyond the first HALF seconds
+STALLED = 5.0  # seconds without a byte of a body after which it will not come
 MOST_WAITING = 16  # pipelined requests of one caller that are read ahead of the one in work
 SLICE = 4 * 1024  # bytes parsed at once where requests are pipelined
+BODY_SLICE = 64 * 1024  # the same inside of a body
 SWEEP = 0.25  # seconds between two looks at all connections
 YOUNG = 0.25  # seconds that a connection without a request stays at least: its first may be on the way
 SILENT = 2.0  # seconds after which a connection that has asked nothing is closed
@@ -33,10 +41,12 @@
 class Incoming:
     """One whole request as it came."""
 
-    __slots__ = ("method", "target", "fields", "head", "body", "keep", "heard", "call")
+    __slots__ = ("method", "target", "fields", "head", "body", "keep", "chunks", "heard",
+                 "call")
 
     def __init__(self) -> None:
         self.method, self.target, self.body, self.keep = b"", b"", b"", True
+        self.chunks = True  # whether its sender knows chunks: HTTP/1.0 does not
         self.heard = 0  # when its last byte came, on the monotonic clock
         self.fields: dict[bytes, bytes] = {}
         self.head: list[tuple[bytes, bytes]] = []  # fields that go on to the server
@@ -67,7 +77,9 @@
         self.parser = httptools.HttpRequestParser(self)
         self.coming = Incoming()
         self.raw = self.size = 0  # bytes of the request that is being read; those of its body
-        self.parts: list[bytes] = []
+        self.rest: Stream | None = None  # of the answer that is passed on as it comes
+        self.chunked = self.lasts = False  # how it goes on; whether the connection outlasts it
+        self.body = io.BytesIO()  # which gives what it holds without a copy
         self.waiting: deque[Incoming | Rejected] = deque()
         self.unread = b""  # came, and is not parsed yet
         self.heard = self.owed = 0
@@ -75,6 +87,11 @@
         self.request: Request | None = None  # the engine's, of the one in work
         self.asked = 0  # requests answered
         self.since = self.loop.time()  # when it connected, began its request, became idle or was closed
+        self.granted = MOST_BODY  # bytes of the body that may be read
+        self.whole = 0  # bytes of long bodies that have come whole and are held
+        self.held_up = False  # until there is room for its body
+        self.slack = 0  # bytes of the body that came before it was held up last
+        self.came = 0.0  # when bytes came last
         self.reading = self.headed = self.broken = self.clogged = self.closing = False
         self.surplus = False  # over the node's number of callers: answered once, then closed
 
@@ -85,27 +102,37 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self.waiting.clear()
         self.unread = b""
+        rest, self.rest = self.rest, None
+        if rest is not None:
+            rest.drop()
         self.table.left(self)
         self.current = None
 
     def pause_writing(self) -> None:
         self.clogged, self.since = True, self.loop.time()
+        self.owed = 0
+        if self.rest is not None:
+            self.rest.pause()
 
     def resume_writing(self) -> None:
         self.clogged = False
+        if self.rest is not None:
+            self.rest.resume()
         self._next()
 
     def data_received(self, data: bytes) -> None:
         if self.broken or self.closing:
             return
         self.heard = time.monotonic_ns()
-        self.unread += data
+        self.came = self.loop.time()
+        self.unread = self.unread + data if self.unread else data
         self._next()
 
     def _parse(self) -> None:
         """Danger: one read may hold hundreds of requests, and a field without end grows unseen."""
-        while self.unread and not self.broken and len(self.waiting) < MOST_WAITING:
-            room = min((MOST_RAW if self.headed else MOST_HEAD) - self.raw, SLICE)
+        while self.unread and not self.broken and not self.held_up and len(self.waiting) < MOST_WAITING:
+            framed = MOST_FRAME + FRAME_PART * self.size
+            room = min(framed - self.raw, BODY_SLICE) if self.headed else min(MOST_HEAD - self.raw, SLICE)
             part, self.unread = self.unread[:room], self.unread[room:]
             self.raw += len(part)
             try:
@@ -128,8 +155,8 @@
     # What the parser calls ------------------------------------------------------------------
 
     def on_message_begin(self) -> None:
-        self.coming, self.raw, self.size, self.parts = Incoming(), 0, 0, []
-        self.headed = False
+        self.coming, self.raw, self.size, self.slack, self.body = Incoming(), 0, 0, 0, io.BytesIO()
+        self.granted, self.headed = MOST_BODY, False
         self.reading = True
         if self.asked or self.current is not None:
             self.since = self.loop.time()  # the first request's time counts from the connection
@@ -140,8 +167,9 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         if self.headed:  # danger: a trailer would change a request that has been checked
             return
-        lower = name.lower()
-        if lower == b"content-length" and (not value.isdigit() or len(value) > 9 or int(value) > MOST_BODY):
+        lower, value = name.lower(), value.strip(b" \t")
+        long = len(value) > 9 or not value.isdigit() or int(value) > LONGEST_BODY
+        if lower == b"content-length" and long:
             raise Rejected(413 if value.isdigit() else 400, f"Content-Length {value[:20]!r}")
         if lower in self.coming.fields and lower.startswith((b"x-", b"idempotency-key")):
             raise Rejected(400, "a header field is given twice")
@@ -154,21 +182,40 @@
         coming = self.coming
         coming.method = self.parser.get_method()
         self._check(coming)
+        self._make_room(int(coming.fields.get(b"content-length", b"0")))
         expects = coming.fields.get(b"expect", b"").lower() == b"100-continue"
         if expects and self.current is None and not self.waiting and self.transport:
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, part: bytes) -> None:
         self.size += len(part)
-        if self.size > MOST_BODY:
+        if self.size > LONGEST_BODY:
             raise Rejected(413, "body too long")
-        self.parts.append(part)
+        self.body.write(part)
+        if self.size > self.granted:
+            self._make_room(self.size + STEP)
+
+    def _make_room(self, size: int) -> None:
+        """Long bodies are read within one sum for all callers; danger: many at once would fill the memory."""
+        if size > max(MOST_BODY, self.granted):
+            self.granted = size
+            self.held_up = not self.table.room.ask(self, self.whole + size, self.loop.time())
+            if self.held_up:
+                self.loop.call_soon(self.table.grant)
+
+    def read_on(self) -> None:
+        """There is room for its body now."""
+        self.held_up, self.since, self.slack = False, self.loop.time(), self.size
+        self._next()
 
     def on_message_complete(self) -> None:
         coming, self.coming = self.coming, Incoming()
-        coming.body, coming.heard = b"".join(self.parts), self.heard
+        coming.body, coming.heard = self.body.getvalue(), self.heard
         coming.keep = self.parser.should_keep_alive()
-        self.parts, self.reading, self.headed, self.raw = [], False, False, 0
+        coming.chunks = self.parser.get_http_version() != "1.0"
+        if self.size > MOST_BODY:
+            self.whole += self.size
+        self.body, self.reading, self.headed, self.raw = io.BytesIO(), False, False, 0
         self.waiting.append(coming)
 
     def _check(self, item: Incoming) -> None:
@@ -198,7 +245,8 @@
         if self.closing or transport.is_closing():
             return
         self.table.place(self)
-        if self.waiting or self.unread:  # else it reads on, or it would not hear that the caller leaves
+        # Else it reads on, or it would not hear that the caller leaves.
+        if self.waiting or self.unread or self.held_up:
             if transport.is_reading():
                 transport.pause_reading()
         elif not transport.is_reading():
@@ -232,11 +280,20 @@
         """Whether requests, or parts of one, have come that are not answered yet."""
         return bool(self.waiting or self.unread or self.reading)
 
+    def _give_room(self) -> None:
+        if self.whole and not self.waiting:
+            self.whole = 0
+            self.table.give_room(self)
+
     def answer(self, call: Call, answer: Answer) -> None:
         """What the engine settled."""
         if self.current is None or self.current.call is not call:  # danger: it must not meet another request
+            if isinstance(answer, Served) and answer.rest is not None:
+                answer.rest.drop()
             return
-        if isinstance(answer, Served):
+        if isinstance(answer, Served) and answer.rest is not None:
+            self._pass_on(answer, answer.rest)
+        elif isinstance(answer, Served):
             self.reply(200, answer.body, answer.content_type)
         elif isinstance(answer, Refused):
             self.reply(503, retry_after=answer.retry_after_ns)
@@ -246,9 +303,8 @@
     def reply(self, status: int, body: bytes = b"", content_type: bytes = b"", retry_after: int = 0) -> None:
         """The one answer to the request in work."""
         item, transport = self.current, self.transport
-        self.current = self.request = None
-        self.asked += 1
         if item is None or transport is None or transport.is_closing():
+            self._replied(False)
             return
         head = [f"HTTP/1.1 {status} {REASONS[status]}\r\nContent-Length: {len(body)}\r\n".encode()]
         if content_type:
@@ -257,10 +313,62 @@
             head.append(f"Retry-After: {retry_after / api.SECOND:.3f}\r\n".encode())
         if status == 405:
             head.append(b"Allow: GET, POST\r\n")
-        # Danger: requests that have been read already would be dropped by a close.
-        close = not item.keep or ((self.surplus or not self.host.wanted) and not self.more)
+        close = self._closes(item)
         head.append(b"Connection: close\r\n\r\n" if close else b"\r\n")
         transport.write(b"".join(head) + (b"" if item.method == b"HEAD" else body))
+        self._replied(close)
+
+    def _closes(self, item: Incoming) -> bool:
+        # Danger: requests that have been read already would be dropped by a close.
+        return not item.keep or ((self.surplus or not self.host.wanted) and not self.more)
+
+    def _pass_on(self, answer: Served, rest: Stream) -> None:
+        """Begins an answer that is not whole yet; the rest goes on as it comes and as the caller takes it."""
+        item, transport = self.current, self.transport
+        if item is None or transport is None or transport.is_closing():
+            rest.drop()
+            return
+        self.chunked = rest.length is None and item.chunks
+        self.lasts = not self._closes(item) and (rest.length is not None or item.chunks)
+        head = [b"HTTP/1.1 200 OK\r\n"]
+        if rest.length is not None:
+            head.append(b"Content-Length: %d\r\n" % rest.length)
+        elif self.chunked:
+            head.append(b"Transfer-Encoding: chunked\r\n")
+        if answer.content_type:
+            head.append(b"Content-Type: " + answer.content_type + b"\r\n")
+        head.append(b"\r\n" if self.lasts else b"Connection: close\r\n\r\n")
+        transport.write(b"".join(head))
+        self.rest = rest
+        self.passed(answer.body)
+        rest.start(self)
+        if self.clogged:
+            rest.pause()
+
+    def passed(self, data: bytes) -> None:
+        """A part of the answer that is passed on."""
+        if self.transport is not None and data:
+            self.transport.write(b"%x\r\n%b\r\n" % (len(data), data) if self.chunked else data)
+
+    def ended(self, whole: bool) -> None:
+        """The answer that is passed on has come to its end."""
+        self.rest = None
+        if self.transport is None:
+            return
+        if not whole:
+            self.transport.abort()  # the caller must see that it is not whole
+            return
+        if self.chunked:
+            self.transport.write(b"0\r\n\r\n")
+        self._replied(not self.lasts)
+
+    def _replied(self, close: bool) -> None:
+        """The request in work is answered to its last byte."""
+        self.current = self.request = None
+        self.asked += 1
+        self._give_room()
+        if self.transport is None or self.transport.is_closing():
+            return
         if close:
             self.close()
         else:
@@ -285,10 +393,10 @@
                 self.since = now
             elif for_long > UNREAD:
                 self.transport.abort()
-        elif self.current is not None or self.waiting or self.unread:
+        elif self.current is not None or self.waiting or self.unread or self.held_up:
             return
         elif self.reading:
-            if for_long > HALF:
+            if for_long > HALF + (self.size - self.slack) / SLOWEST or now - self.came > STALLED:
                 self._break(Rejected(408, "half a request"))
                 self._next()
         elif (stopping or not self.asked) and for_long > (YOUNG if stopping else SILENT):
@@ -310,8 +418,9 @@
 class Callers:
     """All callers' connections, bounded in number; those without a request in the order to close them."""
 
-    def __init__(self, host: Host, most: int, hard: int) -> None:
+    def __init__(self, host: Host, most: int, hard: int, room: int) -> None:
         self.host, self.most, self.hard = host, most, hard
+        self.room: Room[Caller] = Room(room)  # bytes of long bodies
         self.loop = asyncio.get_running_loop()
         self.all: dict[Caller, None] = {}
         # Never asked, asked once, asked more; the one idle for longest first. Danger: by age of connection
@@ -348,8 +457,20 @@
     def left(self, caller: Caller) -> None:
         self._drop(caller)
         self.all.pop(caller, None)
+        self.give_room(caller)
         self.host.left(caller)
 
+    def give_room(self, caller: Caller) -> None:
+        """Its long bodies are held no more; others may read on."""
+        self.room.release(caller)
+        self.grant()
+
+    def grant(self) -> None:
+        """Lets those read on for whose bodies there is room."""
+        if self.room.waiting:
+            for granted in self.room.grants(self.loop.time()):
+                self.loop.call_soon(granted.read_on)
+
     def taken(self) -> int:
         """Whole requests that have come and are not answered to the end."""
         return sum((caller.current is not None) + len(caller.waiting) for caller in self.all)
@@ -370,6 +491,7 @@
         stopping = not self.host.keeps_idle()
         for caller in list(self.all):
             caller.overdue(now, stopping)
+        self.grant()
         self._say()
 
     def _sweep(self) -> None:
--- a/minthitch/net/door.py
+++ b/minthitch/net/door.py
@@ -8,6 +8,7 @@
 ACCEPT_ON = 0.6  # seconds after SIGTERM in which new connections may still come (0.4 stated)
 SUCCEEDED_LINGER = 1.6  # seconds in which idle connections stay where another process listens
 LAST_ANSWER = 3.4  # seconds after SIGTERM by which all is answered: SIGKILL comes after 3.7 or more
+LAST_BYTE = 60.0  # seconds after SIGTERM by which long answers that are being passed on are cut
 
 
 class State(Enum):
@@ -53,6 +54,10 @@
             return True
         return not self.succeeded and now < self.since + ACCEPT_ON
 
+    def cuts(self, now: float) -> bool:
+        """Whether answers that are still being passed on are given up."""
+        return self.state is State.ENDING and now >= self.since + LAST_BYTE
+
     def keeps_idle(self, now: float) -> bool:
         """Whether a connection without a request may stay."""
         if self.state is State.OPEN:
--- a/minthitch/net/node.py
+++ b/minthitch/net/node.py
@@ -26,6 +26,14 @@
 RESERVE = 48  # descriptors for the listener, the watch, files, staff and callers to be turned away
 LOOK = 0.1  # seconds between two looks at the door while the process ends
 BACKLOG = 512
+RESIDENT = 32 * 1024 * 1024  # bytes that the process holds without long bodies, with some to spare
+SEND_BUFFER = 64 * 1024  # bytes that the system holds for each caller, before it doubles them
+LEAST_ROOM = 2 * 1024 * 1024
+
+
+def room_for_bodies(memory: int) -> int:
+    """Bytes of long bodies of requests that may be held, within `memory` bytes for the whole process."""
+    return max((memory - RESIDENT) // 2, LEAST_ROOM)
 
 
 class Node:
@@ -40,7 +48,7 @@
         self.reader = Reader(config.settings)
         self.door = Door()
         self.pool = self.engine.carrier = Pool(config.settings, 1)
-        self.callers = Callers(self, 1, 1)
+        self.callers = Callers(self, 1, 1, room_for_bodies(config.memory))
         self.succession: Succession | None = None
         self._share()
         self.discovery: Discovery | None = None
@@ -66,6 +74,8 @@
         # Two processes may listen at the address: one replaces the other while both serve.
         self.listener = await self.loop.create_server(
             lambda: Caller(self.callers), host, port, backlog=BACKLOG, reuse_port=True)
+        # Danger: what the system holds for a caller that reads slowly hides for minutes that it does.
+        self.listener.sockets[0].setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER)
         self.listening = True
         if self.succession is not None:
             self.succession.listening()
@@ -134,7 +144,8 @@
 
     def _check_finished(self) -> None:
         ending = self.door.state is State.ENDING
-        if ending and not self.listening and not self.callers.all and not self.engine.open:
+        gone = not self.callers.all or self.door.cuts(self.loop.time())
+        if ending and not self.listening and gone and not self.engine.open:
             self.finished.set()
 
     # What staff ask -----------------------------------------------------------------------------
@@ -185,6 +196,7 @@
     def take(self, caller: Caller, item: Incoming) -> None:
         message = Message(item.method, item.target, item.head, item.body)
         item.call = self.reader.call(message, item.fields, item.heard)
+        item.call.streams = True
         try:
             request = self.engine.admit(caller, item.call, full=caller.surplus)
         except Rejected:
--- a/minthitch/net/servers.py
+++ b/minthitch/net/servers.py
@@ -8,6 +8,7 @@
 import asyncio
 import errno
 import select
+import socket
 import time
 from typing import cast
 
@@ -17,12 +18,20 @@
 from minthitch.engine.attempts import Attempt
 from minthitch.engine.calls import Served
 from minthitch.engine.fleet import Server
+from minthitch.engine.stream import Stream
 
-MOST_BODY = 1024 * 1024  # 64 KiB are stated, but good answers of 300 KB come (c207e3d7)
+MOST_BODY = 1024 * 1024  # bytes of an answer that must be whole before it is told
+LONGEST_BODY = 64 * 1024 * 1024  # bytes of one that is passed on as it comes; 32 MB are stated
+PASSED_FROM = 64 * 1024  # bytes over which it is; up to there an answer that breaks is tried again elsewhere
+RECEIVE_BUFFER = 64 * 1024  # bytes that the system holds of such an answer, before it doubles them
+FRAME_PART = 8  # bytes of framing allowed for each byte of a body: it may be a chunk of its own
 MOST_HELD = 12 * 1024 * 1024  # bytes of all unfinished answers together: memory may be 32 MB
 MOST_HEAD = 32 * 1024  # bytes in front of an answer's body, 1xx answers ahead of it included
 MOST_FRAME = 128 * 1024  # bytes of an answer that are not its body: head, chunk framing, trailers
+COPIED = 64 * 1024  # bytes of a request's body up to which one write with a copy beats two writes
 OWN_LACK = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL))
+REST_WITHIN = 15.0  # seconds without a byte after which the rest of an answer will not come
+SWEEP = 2.0  # seconds between two looks at what is kept and what is passed on, at most
 IDLE_PART = 0.5  # part of the servers' idle limit after which a kept connection is dropped
 STALE_WITHIN = 50 * api.MILLISECOND  # a kept connection that breaks so soon was dead when it was used
 WARY_FOR = 30.0  # seconds after such a break in which what may not be repeated goes out on young connections
@@ -33,15 +42,15 @@
 NO_LIMIT_IDLE = 15 * api.SECOND  # where the settings state no idle limit
 
 
-def request_bytes(attempt: Attempt) -> bytes:
-    """A request as it goes out, with the time that it has left now."""
+def request_head(attempt: Attempt) -> bytes:
+    """The head of a request as it goes out, with the time that it has left now."""
     message = attempt.message
     head = [b"%s %s HTTP/1.1\r\n" % (message.method, message.target)]
     head += [b"%s: %s\r\n" % field for field in message.fields]
     head.append(b"X-Time-Left: %du\r\n" % (attempt.left // 1_000))
     if message.body or message.method != b"GET":
         head.append(b"Content-Length: %d\r\n" % len(message.body))
-    return b"".join(head) + b"\r\n" + message.body
+    return b"".join(head) + b"\r\n"
 
 
 class Connection(asyncio.Protocol):
@@ -53,8 +62,9 @@
         self.transport: asyncio.Transport | None = None
         self.parser = httptools.HttpResponseParser(self)
         self.written = self.reused = False
-        self.used = 0.0  # loop time at which it became idle
-        self.size = 0  # bytes of the body so far, counted in the pool's sum
+        self.used = 0.0  # loop time at which it became idle, or heard something last
+        self.size = self.got = 0  # bytes of the body so far: those counted in the pool's sum, and all
+        self.rest: Stream | None = None  # of the answer that is passed on as it comes
         self._reset()
 
     def _reset(self) -> None:
@@ -65,11 +75,12 @@
 
     def _release(self) -> None:
         self.pool.held -= self.size
-        self.size = 0
+        self.size = self.got = 0
 
     def _begin(self) -> None:
         self.unprocessed = self.lasts = False
         self.status, self.body = 0, b""
+        self.length: int | None = None  # of the body, where it is stated
         self.fields: list[tuple[bytes, bytes]] = []
         self.parts: list[bytes] = []
 
@@ -82,7 +93,12 @@
         assert self.transport is not None
         self.attempt, attempt.carried = attempt, self
         self.written = False
-        self.transport.write(request_bytes(attempt))
+        head, body = request_head(attempt), attempt.message.body
+        if len(body) > COPIED:
+            self.transport.write(head)
+            self.transport.write(body)
+        else:
+            self.transport.write(head + body)
         # Danger: bytes in the transport's buffer have not left; a break before they do proves it never ran.
         if self.transport.get_write_buffer_size() == 0:
             self._wrote()
@@ -96,8 +112,9 @@
         self._wrote()
 
     def data_received(self, data: bytes) -> None:
-        if self.attempt is None:  # danger: bytes nobody asked for would pass for the next request's answer
-            self.close()
+        self.used = self.pool.loop.time()
+        if self.attempt is None and self.rest is None:
+            self.close()  # danger: bytes nobody asked for would pass for the next request's answer
             return
         try:
             self._feed(data)
@@ -108,11 +125,46 @@
             self.surplus = True
         if self.complete:
             self._answered()
+        elif self.attempt is not None and self._is_long():
+            self._pass_on(self.attempt)
+
+    def _is_long(self) -> bool:
+        if not self.headed or not self.got or self.parser.get_status_code() != 200:
+            return False
+        long = self.got > PASSED_FROM or (self.length is not None and self.length > PASSED_FROM)
+        return long and self.attempt is not None and self.attempt.may_stream
+
+    def _pass_on(self, attempt: Attempt) -> None:
+        """Its first bytes are its answer; danger: held until they are whole, many would fill the memory."""
+        assert self.transport is not None
+        self.transport.get_extra_info("socket").setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
+        self.rest = Stream(self.length, self)
+        first, self.parts = b"".join(self.parts), []
+        self.pool.held -= self.size
+        self.size = 0
+        self.attempt, attempt.carried = None, None
+        self.transport.pause_reading()  # until somebody takes it
+        attempt.end(api.Status.OK, Served(first, tuple(self.fields), self.rest))
+
+    def pause(self) -> None:
+        if self.usable and self.transport is not None and self.transport.is_reading():
+            self.transport.pause_reading()
+
+    def resume(self) -> None:
+        if self.usable and self.transport is not None and not self.transport.is_reading():
+            self.used = self.pool.loop.time()
+            self.transport.resume_reading()
+
+    def look(self, now: float) -> None:
+        """Danger: a server that falls silent inside of an answer would hold its caller for ever."""
+        if self.transport is not None and self.transport.is_reading() and now - self.used > REST_WITHIN:
+            self._finish(api.Status.TIMEOUT)
 
     def _feed(self, data: bytes) -> None:
         """Danger: a field, trailer or chunk extension without end grows inside the parser, unseen."""
         while data and not self.complete:
-            room = (MOST_FRAME + self.size if self.headed else MOST_HEAD) - self.raw
+            room = (MOST_FRAME + FRAME_PART * self.got if self.headed else MOST_HEAD) - self.raw
             if room <= 0:
                 raise httptools.HttpParserError("an answer without end")
             part, data = data[:room], data[room:]
@@ -141,8 +193,10 @@
         if self.headed or self.complete:
             return
         name = name.lower()
-        if name == b"content-length" and int(value) > MOST_BODY:
-            raise ValueError("body too long")  # danger: waiting for it would fill the memory
+        if name == b"content-length":
+            self.length = int(value)
+            if self.length > self._most():
+                raise ValueError("body too long")  # danger: waiting for it would fill the memory
         if name == b"x-unprocessed":
             self.unprocessed = value.strip() == b"1"
         if name not in HOP_BY_HOP:
@@ -154,12 +208,21 @@
     def on_body(self, part: bytes) -> None:
         if self.complete:
             return
+        self.got += len(part)
+        if self.rest is not None:
+            if self.got > LONGEST_BODY:
+                raise ValueError("body too long")
+            self.rest.feed(part)
+            return
         self.size += len(part)
         self.pool.held += len(part)
-        if self.size > MOST_BODY or self.pool.held > MOST_HELD:
+        if self.got > self._most() or self.pool.held > MOST_HELD:
             raise ValueError("body too long")
         self.parts.append(part)
 
+    def _most(self) -> int:
+        return LONGEST_BODY if self.attempt is not None and self.attempt.may_stream else MOST_BODY
+
     def on_message_complete(self) -> None:
         """Freezes the first final answer; nothing behind it changes it."""
         if self.complete:
@@ -175,7 +238,9 @@
 
     def _answered(self) -> None:
         attempt = self.attempt
-        assert attempt is not None
+        if attempt is None:
+            self._passed_on()
+            return
         answer = Served(self.body, tuple(self.fields))
         status = outcome(self.status, self.unprocessed)
         keep = self.lasts and self.written and not self.surplus
@@ -185,18 +250,38 @@
             self.pool.keep(self)
         attempt.end(status, answer)
 
+    def _passed_on(self) -> None:
+        rest, self.rest = self.rest, None
+        keep = self.lasts and not self.surplus
+        self._reset()
+        if keep and self.usable:
+            self.resume()
+            self.pool.keep(self)
+        else:
+            self.close()
+        if rest is not None:
+            rest.finish(True)
+
     def _finish(self, status: api.Status) -> None:
-        if self.attempt is not None:
+        if self.rest is not None:
+            rest, self.rest = self.rest, None
+            rest.finish(False)
+            self.close()
+        elif self.attempt is not None:
             self.attempt.end(status)
         else:
             self.close()
 
     def drop(self) -> None:
-        """The attempt on it was given up."""
+        """The attempt on it, or the rest of its answer, was given up."""
+        self.rest = None
         self.close()
 
     def close(self) -> None:
         self.attempt = None
+        rest, self.rest = self.rest, None
+        if rest is not None:
+            rest.finish(False)
         self._release()
         self.parts = []
         self.pool.forget(self)
@@ -253,7 +338,7 @@
         self.idle: dict[Connection, None] = {}  # in the order in which they became idle
         self.kept: dict[Server, list[Connection]] = {}  # the same by server, the latest used last
         self.tasks: set[asyncio.Task[None]] = set()  # danger: a task that nobody holds may be collected
-        self.sweeper = self.loop.call_later(self.idle_for / 4, self._sweep)
+        self.sweeper = self.loop.call_later(min(self.idle_for / 4, SWEEP), self._sweep)
 
     def start(self, attempt: Attempt) -> None:
         """Sends on a kept connection, else on a new one. Outcomes come later, never from in here."""
@@ -335,12 +420,15 @@
 
     def _sweep(self) -> None:
         """Danger: a request written to a connection that the server drops for idling ends as a reset."""
-        limit = self.loop.time() - self.idle_for
+        now = self.loop.time()
+        for connection in [c for c in self.opened if c.rest is not None]:
+            connection.look(now)
+        limit = now - self.idle_for
         for connection in list(self.idle):
             if connection.used > limit:
                 break
             connection.close()
-        self.sweeper = self.loop.call_later(self.idle_for / 4, self._sweep)
+        self.sweeper = self.loop.call_later(min(self.idle_for / 4, SWEEP), self._sweep)
 
     def close(self) -> None:
         self.sweeper.cancel()
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -11,10 +11,11 @@
     "minthitch", "minthitch.config", "minthitch.engine", "minthitch.engine.attempts",
     "minthitch.engine.calls", "minthitch.engine.clock", "minthitch.engine.core", "minthitch.engine.counts",
     "minthitch.engine.fields",
-    "minthitch.engine.fleet", "minthitch.engine.ports", "minthitch.interface", "minthitch.listing",
+    "minthitch.engine.fleet", "minthitch.engine.ports", "minthitch.engine.stream", "minthitch.interface",
+    "minthitch.listing",
     "minthitch.log", "minthitch.net", "minthitch.net.callers", "minthitch.net.discovery",
     "minthitch.net.door", "minthitch.net.node", "minthitch.net.servers", "minthitch.net.succession",
-    "minthitch.policy", "minthitch.program", "minthitch.settings",
+    "minthitch.net.uploads", "minthitch.policy", "minthitch.program", "minthitch.settings",
 }
 NEVER = ("minthitch.admin", "minthitch.operators", "minthitch.record", "starlette", "fastapi", "httpx",
          "rich", "argparse", "sqlite3")
