An answer framed by its connection's end is whole where the server said that it closes

Change: with `Connection: close` or HTTP/1.0, an orderly end is the answer's; without that word, or by a reset, it is still broken, as it may be cut short. Ruled out: dead kept connections (the breaks came 50 to 1,300 ms into an attempt).

--- a/minthitch/net/servers.py
+++ b/minthitch/net/servers.py
@@ -81,6 +81,7 @@
         self.unprocessed = self.lasts = False
         self.status, self.body = 0, b""
         self.length: int | None = None  # of the body, where it is stated
+        self.framed = self.closes = self.until_end = False  # whether the end of the connection ends the body
         self.fields: list[tuple[bytes, bytes]] = []
         self.parts: list[bytes] = []
 
@@ -173,7 +174,10 @@
         self.surplus = self.surplus or bool(data)
 
     def eof_received(self) -> None:
-        return None  # closes the transport; connection_lost tells what it meant
+        """Ends an answer that its connection's end frames; else `connection_lost` tells what it meant."""
+        if self.headed and not self.complete and self.until_end and (self.attempt or self.rest):
+            self._whole()
+            self._answered()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._release()
@@ -197,6 +201,9 @@
             self.length = int(value)
             if self.length > self._most():
                 raise ValueError("body too long")  # danger: waiting for it would fill the memory
+        self.framed = self.framed or name in (b"content-length", b"transfer-encoding")
+        if name == b"connection":
+            self.closes = b"close" in [part.strip() for part in value.lower().split(b",")]
         if name == b"x-unprocessed":
             self.unprocessed = value.strip() == b"1"
         if name not in HOP_BY_HOP:
@@ -204,6 +211,8 @@
 
     def on_headers_complete(self) -> None:
         self.headed = self.headed or self.parser.get_status_code() >= 200
+        # Danger: without its sender's word that it closes, a broken connection would pass for the end.
+        self.until_end = not self.framed and (self.closes or self.parser.get_http_version() == "1.0")
 
     def on_body(self, part: bytes) -> None:
         if self.complete:
@@ -231,8 +240,12 @@
         if 100 <= status < 200 and status != 101:  # interim: the answer is still to come
             self._begin()
             return
-        self.status, self.complete, self.body = status, True, b"".join(self.parts)
         self.lasts = self.parser.should_keep_alive()  # only here does the parser still know
+        self._whole()
+
+    def _whole(self) -> None:
+        self.status, self.complete = self.parser.get_status_code(), True
+        self.body = b"".join(self.parts)
 
     # ------------------------------------------------------------------------------------------
 
--- a/tests/test_long_bodies.py
+++ b/tests/test_long_bodies.py
@@ -208,6 +208,39 @@
     run(_breaks, how)
 
 
+async def _by_the_end(head: bytes, size: int, how: str, status: int) -> None:
+    async def script(seen: Seen) -> None:
+        seen.writer.write(b"HTTP/1." + head + b"\r\n\r\n" + LONG[:size])
+        await seen.writer.drain()
+        if how == "end":
+            seen.writer.write_eof()
+        elif size:
+            await asyncio.sleep(0.2)  # until the node has read it
+            reset(seen.writer)
+
+    async with rig(script) as r:
+        caller = await r.caller()
+        caller.writer.write(call("unsafe", left="3000m"))
+        if status == 200:
+            assert await _body(caller) == LONG[:size]
+        else:
+            assert (await caller.answer())[0] == status
+        assert len(r.sends) == 1
+
+
+@pytest.mark.parametrize(("head", "size", "how", "status"), [
+    (b"1 200 OK\r\nConnection: close", 5, "end", 200),
+    (b"1 200 OK\r\nConnection: x, Close", 3_000_000, "end", 200),
+    (b"0 200 OK\r\nX: y", 5, "end", 200),
+    (b"1 200 OK\r\nX: y", 5, "end", 502),  # nobody said that the end ends it
+    (b"1 200 OK\r\nConnection: close", 5, "reset", 502),
+    (b"1 200 OK\r\nConnection: close\r\nContent-Length: 9", 5, "end", 502),
+    (b"1 500 x\r\nConnection: close", 5, "end", 502),
+])
+def test_an_answer_framed_by_the_connections_end(head: bytes, size: int, how: str, status: int) -> None:
+    run(_by_the_end, head, size, how, status)
+
+
 # Requests ---------------------------------------------------------------------------------------
 
 
