A process tells the next one what it has learned; in a crowd new connections are heard first

Need: after each upgrade the new process began with a small window of calls and refused what the old one would have served; in a crowd new connections put each other out (320 a second) while those that asked once and stay were kept.

--- a/minthitch/engine/core.py
+++ b/minthitch/engine/core.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 
 from minthitch import interface as api
+from minthitch import memory
 from minthitch.engine.attempts import Asker, Attempt, Request
 from minthitch.engine.calls import Answer, Call, Failed, Refused, Rejected, Served
 from minthitch.engine.clock import Clock
@@ -20,6 +21,7 @@
 from minthitch.listing import Listing
 from minthitch.policy import Balancer
 
+BESIDE = 0.5  # part of the calls that a process serves beside the one that it replaces
 FULL_BACK = 0.04, 0.12  # one over the limit of open requests comes back after this part of its aim
 
 
@@ -303,6 +305,27 @@
         balancer = self.balancer
         return told + (balancer.avoided(self.clock.now()) if isinstance(balancer, Balancer) else 0)
 
+    def learned(self) -> memory.Table:
+        """What the decisions have learned, for the process that replaces this one; {} if it can't be told."""
+        if not isinstance(self.balancer, Balancer):
+            return {}
+        servers = {server.number: server.identity for server in self.fleet.servers.values()}
+        kinds = {number: name for name, number in self.fleet.kinds.items()}
+        return memory.learned(self.balancer, self.clock.now(), servers, kinds)
+
+    def recall(self, table: memory.Table, last: bool) -> None:
+        """What the process before has learned; `last`: it ends, and its calls come here."""
+        if not isinstance(self.balancer, Balancer):
+            return
+        try:
+            if last:
+                memory.take_over(self.balancer, self.clock.now(), table)
+            else:
+                servers = {server.identity: server.number for server in self.fleet.servers.values()}
+                memory.recall(self.balancer, self.clock.now(), table, servers, self.fleet.kinds, BESIDE)
+        except (ValueError, KeyError, TypeError, AttributeError) as err:
+            self.log(f"what the process before has learned can't be used: {type(err).__name__}: {err}")
+
     # Lists and the end --------------------------------------------------------------------------
 
     def listed(self, listing: Listing, kind: api.ListKind) -> None:
--- a/minthitch/engine/fleet.py
+++ b/minthitch/engine/fleet.py
@@ -20,6 +20,11 @@
         self.told = 0  # when the node was told that it drains or is gone; 0 = it does not
         self.retired = False  # started anew, or listed at another address
 
+    @property
+    def identity(self) -> str:
+        """The same in each process, for as long as the server runs."""
+        return f"{self.name} {self.born_ms}"
+
     @property
     def usable(self) -> bool:
         """Whether connections to it are worth keeping."""
--- /dev/null
+++ b/minthitch/memory.py
@@ -0,0 +1,90 @@
+"""What a Balancer has learned, as plain values for the process that replaces its own. No I/O; times come in.
+
+A process that starts from nothing takes few calls until answers tell more; beside one that knows, it need
+not.
+Ages stand in place of times, and names in place of numbers, as both differ from process to process.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping
+from typing import Any
+
+from minthitch.policy import CLASS_HALF_LIFE, Balancer, Evidence
+
+Table = dict[str, Any]
+FIELDS = ("trials", "hits", "ends", "time")
+SHARED = "load", "warm", "flow"  # evidence over all servers
+MOST = 1e12  # no sum is as large; danger: odd values would stay for minutes
+
+
+def _out(evidence: Evidence, now: int) -> list[float]:
+    return [*(getattr(evidence, field) for field in FIELDS), max(now - evidence.at, 0)]
+
+
+def _in(evidence: Evidence, row: object, now: int, part: float = 1.0) -> None:
+    """Takes the place of what `evidence` holds; `part` of it. Raises ValueError."""
+    if not isinstance(row, list) or len(row) != len(FIELDS) + 1:
+        raise ValueError(f"{row!r} is not a row of evidence")
+    *sums, age = [_number(value) for value in row]
+    for field, value in zip(FIELDS, sums, strict=True):
+        setattr(evidence, field, value * part)
+    evidence.at = now - int(age)
+
+
+def _number(value: object) -> float:
+    if isinstance(value, bool) or not isinstance(value, (int, float)) or not 0 <= value < MOST * 1e6:
+        raise ValueError(f"{value!r} is not a number of 0 or more")
+    return float(value)
+
+
+def learned(balancer: Balancer, now: int, servers: Mapping[int, str], kinds: Mapping[int, str]) -> Table:
+    """All that outlasts requests. `servers` and `kinds` give the names of the numbers that are to be told."""
+    classes = zip(balancer.settings.classes, balancer.classes, strict=True)
+    return {
+        "classes": {spec.name: _out(evidence, now) for spec, evidence in classes},
+        "kinds": {kinds[k]: _out(e, now) for k, e in balancer.kinds.items() if k in kinds},
+        "servers": {servers[n]: _out(s.own, now) for n, s in balancer.servers.items() if n in servers},
+        "shared": {name: _out(getattr(balancer, name), now) for name in SHARED},
+        "grown": balancer.grown, "spare": balancer.spare,
+        "calm": balancer.calm if math.isfinite(balancer.calm) else 0.0,
+        "calm_age": max(now - balancer.calm_at, 0),
+    }
+
+
+def recall(balancer: Balancer, now: int, table: Table, servers: Mapping[str, int],
+           kinds: Mapping[str, int], part: float) -> None:
+    """Takes in what another process has learned, beside which this one serves `part` of the calls.
+
+    What this one does not know by name is left out. Raises ValueError, KeyError, TypeError or AttributeError
+    on a table that is not one; what it took until then stays, as each row is good by itself.
+    """
+    for spec, evidence in zip(balancer.settings.classes, balancer.classes, strict=True):
+        if spec.name in table["classes"]:
+            _in(evidence, table["classes"][spec.name], now)
+    for name, row in table["kinds"].items():
+        if name in kinds:
+            _in(balancer.kinds.setdefault(kinds[name], Evidence(CLASS_HALF_LIFE)), row, now)
+    for name, row in table["servers"].items():
+        known = balancer.servers.get(servers.get(name, -1))
+        if known is not None:
+            _in(known.own, row, now)
+    for name in SHARED:
+        # How many answers come belongs to the calls that are served here; their times do not.
+        _in(getattr(balancer, name), table["shared"][name], now, 1.0 if name == "load" else part)
+    balancer.grown, balancer.spare = part * _number(table["grown"]), part * _number(table["spare"])
+    if calm := _number(table["calm"]):
+        balancer.calm, balancer.calm_at = calm, now - int(_number(table["calm_age"]))
+
+
+def take_over(balancer: Balancer, now: int, table: Table) -> None:
+    """The other process ends: its calls come here from now on. Raises ValueError, KeyError or TypeError."""
+    balancer.grown += _number(table["grown"])
+    for name in ("warm", "flow"):
+        mine, other = getattr(balancer, name), Evidence(getattr(balancer, name).half_life)
+        _in(other, table["shared"][name], now)
+        fade, faded = mine.fade(now), other.fade(now)
+        for field in FIELDS:
+            setattr(mine, field, getattr(mine, field) * fade + getattr(other, field) * faded)
+        mine.at = now
--- a/minthitch/net/callers.py
+++ b/minthitch/net/callers.py
@@ -17,6 +17,7 @@
 from minthitch.engine.attempts import Request
 from minthitch.engine.fields import MOST_BODY, NOT_FORWARDED
 from minthitch.engine.stream import Stream
+from minthitch.net.crowd import victim
 from minthitch.net.uploads import STEP, Room
 
 MOST_HEAD = 32 * 1024  # bytes of a request in front of its body
@@ -423,8 +424,7 @@
         self.room: Room[Caller] = Room(room)  # bytes of long bodies
         self.loop = asyncio.get_running_loop()
         self.all: dict[Caller, None] = {}
-        # Never asked, asked once, asked more; the one idle for longest first. Danger: by age of connection
-        # hundreds that say nothing would push out the usual clients.
+        # Never asked, asked once, asked more; the one idle for longest first.
         self.idle: tuple[dict[Caller, None], ...] = ({}, {}, {})
         self.turned_away, self.last_text, self.said = 0, "", -1.0
         self.sweeper = self.loop.call_later(SWEEP, self._sweep)
@@ -432,10 +432,10 @@
     def joined(self, caller: Caller) -> None:
         self.all[caller] = None
         if len(self.all) > self.most:
-            victim = next((c for group in self.idle for c in group), None)
-            if victim is not None:
-                victim.close()
-            caller.surplus = victim is None
+            closed = victim(self.idle[0], self.idle[1], self.idle[2], self.loop.time())
+            if closed is not None:
+                closed.close()
+            caller.surplus = closed is None
             if len(self.all) > self.hard and caller.transport is not None:
                 caller.transport.abort()  # danger: without descriptors nothing could be sent for anyone
                 return
--- a/minthitch/net/node.py
+++ b/minthitch/net/node.py
@@ -68,7 +68,8 @@
             self.discovery.start()
         host, port = self.config.listen
         if self.config.handover:
-            self.succession = Succession(self.config.handover, f"{host}:{port}", self._share, self.log)
+            self.succession = Succession(self.config.handover, f"{host}:{port}", self._share, self.log,
+                                         self.engine.learned, self.engine.recall)
             await self.succession.start()
             self._share()
         # Two processes may listen at the address: one replaces the other while both serve.
@@ -113,6 +114,8 @@
     def drain(self) -> None:
         """SIGTERM: what has come, and still comes for a while, is answered; then the node ends."""
         if self.door.state is not State.ENDING:
+            if self.succession is not None:
+                self.succession.hand_over()
             self.door.end(self.loop.time())
             self.engine.drain(int(LAST_ANSWER * api.SECOND))
             self._end_in_time()
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -12,8 +12,8 @@
     "minthitch.engine.calls", "minthitch.engine.clock", "minthitch.engine.core", "minthitch.engine.counts",
     "minthitch.engine.fields",
     "minthitch.engine.fleet", "minthitch.engine.ports", "minthitch.engine.stream", "minthitch.interface",
-    "minthitch.listing",
-    "minthitch.log", "minthitch.net", "minthitch.net.callers", "minthitch.net.discovery",
+    "minthitch.listing", "minthitch.log", "minthitch.memory", "minthitch.net", "minthitch.net.callers",
+    "minthitch.net.crowd", "minthitch.net.discovery",
     "minthitch.net.door", "minthitch.net.node", "minthitch.net.servers", "minthitch.net.succession",
     "minthitch.net.uploads", "minthitch.policy", "minthitch.program", "minthitch.settings",
 }
