Long bodies never take more than the memory that is left; what can never fit is turned away

Cause, traced: one client's body of 60 MB, taken over the sum as the only one. Ruled out: answers, write buffers, unread bytes (all 0 then). Change: a hard bound beside the sum, bodies over 34 MiB or over the bound are 413, and where parts of several fill it, the longest is 503 at once so that others end.

--- a/minthitch/net/callers.py
+++ b/minthitch/net/callers.py
@@ -23,7 +23,7 @@
 MOST_HEAD = 32 * 1024  # bytes of a request in front of its body
 MOST_FRAME = 256 * 1024  # bytes of a request behind its head that are not its body: framing, trailers
 FRAME_PART = 8  # and as many for each byte of the body: one byte may be a chunk of its own
-LONGEST_BODY = 64 * 1024 * 1024  # bytes: 32 MB are stated
+LONGEST_BODY = 34 * 1024 * 1024  # bytes: 32 MB are stated, and 60 MB come from those that mean harm
 SLOWEST = 16 * 1024  # bytes a second at which a body must come, on average, beyond the first HALF seconds
 STALLED = 5.0  # seconds without a byte of a body after which it will not come
 MOST_WAITING = 16  # pipelined requests of one caller that are read ahead of the one in work
@@ -65,6 +65,7 @@
     def take(self, caller: Caller, item: Incoming) -> None: ...
     def left(self, caller: Caller) -> None: ...
     def ready(self) -> bool: ...
+    def pause(self) -> int: ...
     def log(self, text: str) -> None: ...
 
 
@@ -199,6 +200,8 @@
     def _make_room(self, size: int) -> None:
         """Long bodies are read within one sum for all callers; danger: many at once would fill the memory."""
         if size > max(MOST_BODY, self.granted):
+            if self.whole + size > self.table.room.hard:
+                raise Rejected(413, "body too long for the memory that there is")
             self.granted = size
             self.held_up = not self.table.room.ask(self, self.whole + size, self.loop.time())
             if self.held_up:
@@ -209,6 +212,12 @@
         self.held_up, self.since, self.slack = False, self.loop.time(), self.size
         self._next()
 
+    def no_room(self) -> None:
+        """Its body can't be held beside the others'; nothing of it was sent."""
+        self.held_up = False
+        self._break(Rejected(503, "no room for its body", self.host.pause()))
+        self._next()
+
     def on_message_complete(self) -> None:
         coming, self.coming = self.coming, Incoming()
         coming.body, coming.heard = self.body.getvalue(), self.heard
@@ -419,9 +428,8 @@
 class Callers:
     """All callers' connections, bounded in number; those without a request in the order to close them."""
 
-    def __init__(self, host: Host, most: int, hard: int, room: int) -> None:
-        self.host, self.most, self.hard = host, most, hard
-        self.room: Room[Caller] = Room(room)  # bytes of long bodies
+    def __init__(self, host: Host, most: int, hard: int, room: Room[Caller]) -> None:
+        self.host, self.most, self.hard, self.room = host, most, hard, room
         self.loop = asyncio.get_running_loop()
         self.all: dict[Caller, None] = {}
         # Never asked, asked once, asked more; the one idle for longest first.
@@ -468,8 +476,11 @@
     def grant(self) -> None:
         """Lets those read on for whose bodies there is room."""
         if self.room.waiting:
-            for granted in self.room.grants(self.loop.time()):
-                self.loop.call_soon(granted.read_on)
+            granted = self.room.grants(self.loop.time())
+            for caller in granted:
+                self.loop.call_soon(caller.read_on)
+            if not granted and (stuck := self.room.turn_away()) is not None:
+                self.loop.call_soon(stuck.no_room)
 
     def taken(self) -> int:
         """Whole requests that have come and are not answered to the end."""
--- a/minthitch/net/node.py
+++ b/minthitch/net/node.py
@@ -12,7 +12,7 @@
 from minthitch.config import Config
 from minthitch.engine.calls import Message, Rejected
 from minthitch.engine.clock import LoopClock
-from minthitch.engine.core import Engine
+from minthitch.engine.core import Engine, pause_when_full
 from minthitch.engine.counts import Figures
 from minthitch.engine.fields import Reader
 from minthitch.engine.ports import StaticSource
@@ -22,6 +22,7 @@
 from minthitch.net.door import LAST_ANSWER, Door, State
 from minthitch.net.servers import Pool
 from minthitch.net.succession import Succession
+from minthitch.net.uploads import Room
 
 RESERVE = 48  # descriptors for the listener, the watch, files, staff and callers to be turned away
 LOOK = 0.1  # seconds between two looks at the door while the process ends
@@ -31,9 +32,10 @@
 LEAST_ROOM = 2 * 1024 * 1024
 
 
-def room_for_bodies(memory: int) -> int:
-    """Bytes of long bodies of requests that may be held, within `memory` bytes for the whole process."""
-    return max((memory - RESIDENT) // 2, LEAST_ROOM)
+def room_for_bodies(memory: int) -> Room[Caller]:
+    """Room for long bodies of requests, within `memory` bytes for the whole process."""
+    left = memory - RESIDENT
+    return Room(max(left // 2, LEAST_ROOM), max(left, 2 * LEAST_ROOM))
 
 
 class Node:
@@ -179,6 +181,10 @@
     def ready(self) -> bool:
         return self.listening and self.engine.have_list and self.door.open
 
+    def pause(self) -> int:
+        """When one that found no room may come back, in ns."""
+        return pause_when_full(self.settings, self.settings.classes[0], self.engine.random)
+
     @property
     def wanted(self) -> bool:
         return self.door.open
--- a/minthitch/net/uploads.py
+++ b/minthitch/net/uploads.py
@@ -15,10 +15,10 @@
 
 
 class Room(Generic[Who]):
-    """`most` bytes for all, and over them one body at a time where none could be whole otherwise."""
+    """`most` bytes for all; up to `hard`, one body at a time, where none could be whole otherwise."""
 
-    def __init__(self, most: int) -> None:
-        self.most = most
+    def __init__(self, most: int, hard: int) -> None:
+        self.most, self.hard = most, hard
         self.held: dict[Who, int] = {}  # bytes granted
         self.used = 0
         self.waiting: dict[Who, tuple[int, float]] = {}  # further bytes asked for and since when, in order
@@ -48,12 +48,26 @@
             elif now >= since + PASSED_FOR:
                 break  # danger: small ones would pass a large one for ever
         # Danger: parts of many bodies would fill the room with none of them ever whole.
-        if self.waiting and not granted and all(who in self.waiting for who in self.held):
-            first = max(self.waiting, key=lambda who: self.held.get(who, 0))  # the same one until it is whole
-            self._grant(first, self.waiting[first][0])
-            granted.append(first)
+        if not granted and (first := self._stuck()) is not None:
+            more = self.waiting[first][0]
+            if self.used + more <= self.hard:
+                self._grant(first, more)
+                granted.append(first)
         return granted
 
+    def _stuck(self) -> Who | None:
+        """If nobody reads on, the one that has come farthest: the same one until it is whole."""
+        if not self.waiting or any(who not in self.waiting for who in self.held):
+            return None
+        return max(self.waiting, key=lambda who: self.held.get(who, 0))
+
+    def turn_away(self) -> Who | None:
+        """The one that must go, after `grants`, if nobody can read on; it holds nothing from here on."""
+        first = self._stuck()
+        if first is not None:
+            self.release(first)
+        return first
+
     def _grant(self, who: Who, more: int) -> None:
         del self.waiting[who]
         self.held[who] = self.held.get(who, 0) + more
--- a/tests/test_long_bodies.py
+++ b/tests/test_long_bodies.py
@@ -23,7 +23,7 @@
 
 def test_the_room_is_kept_and_everybody_gets_some_in_the_end() -> None:
     for seed in range(200):
-        rng, room = random.Random(seed), Room[int](1_000)
+        rng, room = random.Random(seed), Room[int](1_000, 2_600)
         left = {who: rng.choice([[10], [300], [990], [1_500], [200] * 6]) for who in range(40)}
         asked, now, got, may = dict.fromkeys(left, 0), 0.0, set[int](), set[int]()
         coming = list(left)
@@ -41,12 +41,12 @@
                     got.add(who)
                     room.release(who)
             may |= set(room.grants(now))
-            assert room.used == sum(room.held.values()) <= 1_000 + 1_500
+            assert room.used == sum(room.held.values()) <= 2_600
     assert not room.held and not room.waiting and room.used == 0
 
 
 def test_small_bodies_pass_a_large_one_only_for_a_while() -> None:
-    room = Room[str](100)
+    room = Room[str](100, 200)
     assert room.ask("a", 60, 0.0) and not room.ask("large", 90, 0.0)
     assert room.ask("b", 30, PASSED_FOR / 2)
     assert not room.ask("c", 5, PASSED_FOR)
@@ -55,6 +55,16 @@
     assert room.grants(PASSED_FOR) == ["large", "c"]
 
 
+def test_where_nobody_can_read_on_one_is_turned_away_for_the_others() -> None:
+    room = Room[str](100, 120)
+    for who in ("a", "b"):
+        assert room.ask(who, 50, 0.0)
+    assert not room.ask("a", 90, 0.1) and not room.ask("b", 80, 0.2)
+    assert room.grants(0.3) == [] and room.turn_away() == "a"
+    assert room.grants(0.3) == ["b"] and room.turn_away() is None
+    assert room.held == {"b": 80}
+
+
 class _Ends:
     """Both ends of a stream."""
 
@@ -285,6 +295,7 @@
 
     async with rig(script) as r:
         room = r.node.callers.room.most = 2 * len(LONG)
+        r.node.callers.room.hard = room + len(LONG)
         left = await r.caller()  # one that leaves while it holds room
         left.writer.write(call("unsafe").replace(b"Content-Length: 0", b"Content-Length: 3000000"))
         await r.until(lambda: r.node.callers.room.used > 0)
@@ -299,6 +310,28 @@
     run(_many)
 
 
+async def _no_room() -> None:
+    async def script(seen: Seen) -> bytes:
+        return OK
+
+    async with rig(script) as r:
+        r.node.callers.room.most, r.node.callers.room.hard = 1_000_000, 1_200_000
+        callers = [await r.caller() for _ in range(3)]
+        for caller in callers:  # none says how long its body is, and none ends
+            caller.writer.write(call("unsafe", extra="Transfer-Encoding: chunked\r\n").replace(
+                b"Content-Length: 0\r\n", b""))
+            caller.writer.write((b"186A0\r\n" + b"x" * 100_000 + b"\r\n") * 12)
+        statuses = sorted([(await caller.answer())[0] for caller in callers])
+        assert statuses[-1] == 503 and set(statuses) <= {408, 413, 503}
+        longer = call("unsafe").replace(b"Content-Length: 0", b"Content-Length: 1300000")
+        assert (await r.ask(longer))[0] == 413
+        assert not r.sends and r.node.callers.room.used == 0
+
+
+def test_bodies_that_never_fit_are_turned_away_and_hold_nothing() -> None:
+    run(_no_room)
+
+
 async def _slow(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(callers, "HALF", 0.3)
     monkeypatch.setattr(callers, "SLOWEST", 1_000)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -408,7 +408,7 @@
     (b"GET /elsewhere HTTP/1.1\r\n\r\n", 404),
     (b"DELETE /api HTTP/1.1\r\n\r\n", 405),
     (b"POST /ready HTTP/1.1\r\nContent-Length: 0\r\n\r\n", 405),
-    (f"POST /api HTTP/1.1\r\n{HEAD}Content-Length: 67108865\r\n\r\n".encode(), 413),
+    (f"POST /api HTTP/1.1\r\n{HEAD}Content-Length: 35651585\r\n\r\n".encode(), 413),
     (b"GET /api HTTP/1.1\r\nX: " + b"x" * 40_000 + b"\r\n\r\n", 431),
 ])
 def test_bad_input_is_answered_and_the_node_lives_on(data: bytes, status: int,
