After SIGTERM kept connections are served for 2 s: a rolling restart leaves no client without a node

Cause, traced: a node is told to end 0.5 s before the other one is back; it closed its kept connections within 0.6 s, and their clients found no node, or all fell on one. Change: net/door.py: ending alone, answers go on without Connection: close, and idle connections stay, for 2.0 s.

--- a/minthitch/net/door.py
+++ b/minthitch/net/door.py
@@ -6,6 +6,7 @@
 
 AWAY_LINGER = 1.0  # seconds in which idle connections stay after a drain: those in use meet an orderly close
 ACCEPT_ON = 0.6  # seconds after SIGTERM in which new connections may still come (0.4 stated)
+KEEP_ON = 2.0  # seconds after SIGTERM in which kept connections are served as before: other nodes may be away
 SUCCEEDED_LINGER = 1.6  # seconds in which idle connections stay where another process listens
 LAST_ANSWER = 3.4  # seconds after SIGTERM by which all is answered: SIGKILL comes after 3.7 or more
 LAST_BYTE = 60.0  # seconds after SIGTERM by which long answers that are being passed on are cut
@@ -45,9 +46,15 @@
 
     @property
     def open(self) -> bool:
-        """Whether clients are wanted; else each answer closes its connection."""
+        """Whether new clients are wanted."""
         return self.state is State.OPEN
 
+    def closes(self, now: float) -> bool:
+        """Whether each answer closes its connection. Danger: all at once fall on the nodes that are left."""
+        if self.state is State.ENDING and not self.succeeded:
+            return now >= self.since + KEEP_ON
+        return self.state is not State.OPEN
+
     def accepts(self, now: float) -> bool:
         """Whether connections are accepted. Danger: closed too soon, what still comes is refused."""
         if self.state is not State.ENDING:
@@ -63,5 +70,5 @@
         if self.state is State.OPEN:
             return True
         linger = AWAY_LINGER if self.state is State.AWAY else (
-            SUCCEEDED_LINGER if self.succeeded else ACCEPT_ON)
+            SUCCEEDED_LINGER if self.succeeded else KEEP_ON)
         return now < self.since + linger
--- a/minthitch/net/node.py
+++ b/minthitch/net/node.py
@@ -187,7 +187,8 @@
 
     @property
     def wanted(self) -> bool:
-        return self.door.open
+        """Whether callers' connections outlast their answers."""
+        return not self.door.closes(self.loop.time())
 
     def keeps_idle(self) -> bool:
         return self.door.keeps_idle(self.loop.time())
