--- a/bench/operation.py
+++ b/bench/operation.py
@@ -41,6 +41,7 @@
 
     def __init__(self, port: int, folder: str, servers: list[str], memory_mb: int = 192) -> None:
         self.port, self.folder, self.desk = port, folder, free_port()
+        self.calls = 0  # attempts to servers, as it told last
         self.table = {"name": f"n{self.desk}", "listen": f"127.0.0.1:{port}", "servers": servers,
                       "admin": f"127.0.0.1:{self.desk}", "limits": {"memory_mb": memory_mb},
                       "settings": SETTINGS}
@@ -149,11 +150,9 @@
         old, now = now, new
         ending = asyncio.create_task(old.end())
         while not ending.done():  # its figures up to its end, as far as they can be had
-            calls_now = (await old.figures()).get("backend_calls", 0)
-            old_calls = max(calls_now, getattr(old, "calls", 0))
-            old.calls = old_calls  # type: ignore[attr-defined]
+            old.calls = max(old.calls, (await old.figures()).get("backend_calls", 0))
             await asyncio.sleep(0.02)
-        calls += old.calls  # type: ignore[attr-defined]
+        calls += old.calls
         codes.append(await ending)
     stop.set()
     await load
--- a/tests/test_long_bodies.py
+++ b/tests/test_long_bodies.py
@@ -15,7 +15,7 @@
 from minthitch.net import callers
 from minthitch.net.uploads import PASSED_FOR, Room
 from tests.net import OK, PATIENCE, Caller, Rig, Seen, call, reply, reset, rig
-from tests.test_operation import run
+from tests.test_node import run
 
 LONG = random.Random(5).randbytes(3_000_001)
 
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -6,12 +6,9 @@
 import os
 import socket
 import tempfile
-from collections.abc import Callable, Coroutine
 from dataclasses import replace
-from typing import Any
 
 import pytest
-import uvloop
 
 from minthitch.admin.desk import CALLS, answer
 from minthitch.admin.listener import MOST_CONNECTIONS, MOST_LINE, Desk
@@ -20,20 +17,12 @@
 from minthitch.net.door import ACCEPT_ON, AWAY_LINGER, KEEP_ON, SUCCEEDED_LINGER, Door, State
 from minthitch.net.node import Node
 from minthitch.net.succession import Succession
-from tests.net import PATIENCE, SETTINGS, Caller, Rig, Seen, call, config, reply, rig, serve_ok
+from tests.net import SETTINGS, Caller, Rig, Seen, call, config, reply, rig, serve_ok
+from tests.test_node import run
 
 READY = b"GET /ready HTTP/1.1\r\n\r\n"
 
 
-def run(test: Callable[..., Coroutine[Any, Any, None]], *args: Any) -> None:
-    async def limited() -> None:
-        async with asyncio.timeout(3 * PATIENCE):
-            await test(*args)
-
-    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        runner.run(limited())
-
-
 # The desk, without sockets ----------------------------------------------------------------------
 
 
