--- a/minthitch/engine/calls.py
+++ b/minthitch/engine/calls.py
@@ -44,12 +44,12 @@
 
     def __init__(self, identity: bytes, cls: int, message: Message, *, left: int | None = None,
                  heard: int = 0, tenant: int = 0, key: int = 0, cost: int = 0,
-                 repeat: bool = False, streams: bool = False) -> None:
+                 repeat: bool = False) -> None:
         self.identity, self.cls, self.message = identity, cls, message
         self.left = left  # ns that the asker waits, counted from `heard`; None = the class's deadline
         self.heard = heard  # when its last byte came, on the monotonic clock; 0 = now
         self.tenant, self.key, self.cost, self.repeat = tenant, key, cost, repeat
-        self.streams = streams  # its asker takes a long answer in parts, as they come
+        self.streams = False  # whether its asker takes a long answer in parts, as they come
 
 
 @dataclass(frozen=True, slots=True)
--- a/minthitch/net/callers.py
+++ b/minthitch/net/callers.py
@@ -42,8 +42,7 @@
 class Incoming:
     """One whole request as it came."""
 
-    __slots__ = ("method", "target", "fields", "head", "body", "keep", "chunks", "heard",
-                 "call")
+    __slots__ = ("method", "target", "fields", "head", "body", "keep", "chunks", "heard", "call")
 
     def __init__(self) -> None:
         self.method, self.target, self.body, self.keep = b"", b"", b"", True
@@ -170,8 +169,8 @@
         if self.headed:  # danger: a trailer would change a request that has been checked
             return
         lower, value = name.lower(), value.strip(b" \t")
-        long = len(value) > 9 or not value.isdigit() or int(value) > LONGEST_BODY
-        if lower == b"content-length" and long:
+        if lower == b"content-length" and (
+                not value.isdigit() or len(value) > 9 or int(value) > LONGEST_BODY):
             raise Rejected(413 if value.isdigit() else 400, f"Content-Length {value[:20]!r}")
         if lower in self.coming.fields and lower.startswith((b"x-", b"idempotency-key")):
             raise Rejected(400, "a header field is given twice")
--- a/minthitch/net/servers.py
+++ b/minthitch/net/servers.py
@@ -126,14 +126,14 @@
             self.surplus = True
         if self.complete:
             self._answered()
-        elif self.attempt is not None and self._is_long():
+        elif self.attempt is not None and self._is_long() and self.attempt.may_stream:
             self._pass_on(self.attempt)
 
     def _is_long(self) -> bool:
+        """Whether its body is a good answer's, has begun, and is over what is held until it is whole."""
         if not self.headed or not self.got or self.parser.get_status_code() != 200:
             return False
-        long = self.got > PASSED_FROM or (self.length is not None and self.length > PASSED_FROM)
-        return long and self.attempt is not None and self.attempt.may_stream
+        return max(self.got, self.length or 0) > PASSED_FROM
 
     def _pass_on(self, attempt: Attempt) -> None:
         """Its first bytes are its answer; danger: held until they are whole, many would fill the memory."""
@@ -276,11 +276,7 @@
             rest.finish(True)
 
     def _finish(self, status: api.Status) -> None:
-        if self.rest is not None:
-            rest, self.rest = self.rest, None
-            rest.finish(False)
-            self.close()
-        elif self.attempt is not None:
+        if self.attempt is not None:
             self.attempt.end(status)
         else:
             self.close()
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -23,6 +23,7 @@
 from tests.embedded import tier
 from tests.net import SETTINGS
 from tests.test_node import run
+from tests.test_service import ready
 
 ROOT = Path(__file__).parent.parent
 CLASSES = """
@@ -97,13 +98,8 @@
         stderr=asyncio.subprocess.PIPE)
     try:
         async with asyncio.timeout(PATIENCE):
-            while True:
-                try:
-                    caller = Caller(*await asyncio.open_connection("127.0.0.1", port))
-                    if (await caller.ask(b"GET /ready HTTP/1.1\r\n\r\n"))[0] == 200:
-                        break
-                except (OSError, asyncio.IncompleteReadError):
-                    assert process.returncode is None
+            while await ready(port) != 200:
+                assert process.returncode is None
                 await asyncio.sleep(0.02)
         yield process, port
     finally:
