Cold servers earn calls by their own answers; the window goes with the servers that are left

The new ones get 5 calls in 2 s each, answer them in 200 ms and have 0 to 3 out; the four old ones have 10 to 17 out, answer after 2.8 s and stay slow to the end. Two lines of policy.py: - `_pool` gives a cold server its part of what warm ones answer, and warm ones answer less the more they are crowded: a circle in which the new servers starve; - `_admit` counts each listed server as a whole one, and what may be out grows by answers alone: 63 calls that ten servers bore are let out to four. Ruled out: connections (no connect failed, none turned away), the tiers below (median 40 ms before and after), CPU (0.13 s in the worst second), the list (told within 0.9 s), retries (0.1 a request).

The change: an answer of a cold server in the usual time earns it 1.5 calls, which time does not give once more, up to 0.6 of its budget by what warm ones answer (lately or within 10 s, the more of both); what is over one call fades in the rule's window. The window counts servers by their warmth, keeps its density when they go, and grows at a tenth of its pace for 10 s after a loss.

--- a/minthitch/policy.py
+++ b/minthitch/policy.py
@@ -37,8 +37,13 @@
 LOAD_KEEPS = 10.0  # answers at least that the common load is judged by, up to HALF_LIFE: many nodes have few
 CROSSING = 1.5  # price of a server in another zone, as a multiple, where crossings are charged for
 COLD_PART = 0.5  # part of a cold server's budget that is used: one node's guess at warm rates is rough
+COLD_EARNS = 1.5  # calls that a cold server's answer in the usual time earns it: half of the usual multiple
+COLD_MOST = 0.6  # part of its budget, by what warm ones answer, up to which its own answers earn it calls
+COLD_KEEPS = 3.0  # calls that a cold server may have in hand at one node; over one, they fade in its window
 FIRST_CALLS = 2.5  # calls out a server, over all nodes, that any bears: so many before answers tell more,
 GROWTH = 0.25  # and further calls for each answer while queues do not build; as many fewer over CROWD_LEAST
+LOSS = 0.05  # part of the servers' room whose loss at once slows growth for HALF_LIFE, and
+REGROWTH = 0.1  # the part of growth that is left then: queues tell of crowding only when servers are slow
 STEADY = 5.0  # window below which calls out are averaged, over STEADY / window arrivals: few swing by chance
 AIM_PART = 0.8  # part of its aim that a class's calls take on average when the least worthy is refused
 FULL_SHRINKS = 12.0  # answers' growth that one call turned away as full undoes: one in twelve is many
@@ -178,10 +183,13 @@
 class Server:
     """One server as this node sees it."""
 
-    __slots__ = ("entry", "own", "open", "open_rate", "open_sent", "credit", "credit_at", "links", "used")
+    __slots__ = ("entry", "own", "open", "open_rate", "open_sent", "credit", "credit_at", "links", "used",
+                 "lately", "paid")
 
     def __init__(self, entry: api.ServerEntry, now: int, credit: float) -> None:
         self.entry, self.own = entry, Evidence(HALF_LIFE)
+        self.paid = 0.0  # calls that its answers earned it, which time does not give it once more
+        self.lately = Evidence(LOAD_HALF_LIFE)  # calls sent while it is cold
         self.open = 0  # this node's attempts that are out; below, sums over them
         self.open_rate = self.open_sent = 0.0  # 1 / usual time; send time / usual time
         self.credit, self.credit_at = credit, now  # calls a cold server may still get
@@ -272,10 +280,12 @@
         self.shares = [(0.0, 0)] * len(settings.tenants)  # requests in a tenant's share; when counted
         self.out, self.busy = 0, 0.0  # attempts that are out; on average over the last arrivals
         self.crowd = self.grown = 0.0  # how crowded it is; how many may be out beyond the first few
+        self.room, self.lost = 0.0, -HALF_LIFE  # servers by their warmth, as last counted; when it last fell
         self.arrivals, self.pace = 0, 1.0  # requests so far; weight of the next one in averages
         self.strain = 1.0  # how much longer calls take than they should, as judged at the last arrival
         self.load_now, self.load_at = 1.0, -1  # the common load and when it was worked out
         self.warm = Evidence(HALF_LIFE)  # answers of warm servers
+        self.warm_lately = Evidence(LOAD_HALF_LIFE)  # the same, as they are now
         self.flow = Evidence(LOAD_HALF_LIFE)  # answers, with the times that they usually take
         self.spare = SPARE_MOST / 2  # further attempts (copies and retries) that answers have earned
         self.budget = ResendBudget(settings)
@@ -361,7 +371,8 @@
         if self.settings.tier:
             return True
         worth, load = self._worth(now, event), self._load(now)
-        part = max(len(self.servers), 1) / self.settings.siblings  # this node's part of the servers
+        room = self._room(now)
+        part = room / self.settings.siblings  # this node's part of the servers, cold ones by what they can do
         # Guards against taking chance for calm or crowding: a mean of few answers strays by so much.
         few = NOISE / math.sqrt(max(self.load.ends * self.load.fade(now), 1e-9))
         self.calm = min(load * (1.0 + few), self.calm * (1.0 + (now - self.calm_at) / CALM_DOUBLES))
@@ -385,6 +396,22 @@
             self._say(now, f"refusing: load {load / self.calm:.1f} times the calm one, {self.out} calls out")
         return not refused
 
+    def _room(self, now: int) -> float:
+        """The servers, cold ones by what they can do; what may be out beyond the first calls goes with it.
+
+        Guards against calls that were borne by servers which are gone or cold now: they crowd the others,
+        which turn slow for long. Growing again as fast as ever would make up for the loss in a second or two.
+        """
+        room = max(sum(s.warmth(now, self.settings) for s in self.servers.values()), 1.0)
+        if room < (1.0 - LOSS) * self.room:
+            self.lost = now
+        self.grown *= room / self.room if self.room else 1.0
+        self.room = room
+        return room
+
+    def _growth(self, now: int) -> float:
+        return GROWTH * self.pace * (REGROWTH if now < self.lost + HALF_LIFE else 1.0)
+
     def _fired(self, now: int, token: int) -> None:
         request = self.requests.get(token >> 1)
         if token == 0:
@@ -496,6 +523,7 @@
         self._track(attempt, 1)
         if server.warmth(now, self.settings) < 1.0:
             server.credit -= 1.0
+            server.lately.note(now, 0.0, True, False)
         self.actions.append(api.Send(request.id, server.entry.server))
 
     def _pool(self, now: int) -> list[Server]:
@@ -510,7 +538,12 @@
         each = self.warm.ends * self.warm.fade(now) / warm  # what a warm server answers in a nanosecond
         for s, warmth in cold:
             part = min(1.0, COLD_PART * self.settings.cold_multiple * warmth) * each
-            s.credit, s.credit_at = min(1.0, s.credit + part * (now - s.credit_at)), now
+            since, s.credit_at = now - s.credit_at, now
+            if s.credit > 1.0:  # guards against calls earned by all nodes at a time and sent at another
+                s.credit = 1.0 + (s.credit - 1.0) * math.exp2(-since / self.settings.cold_window)
+            else:
+                gain = part * since
+                s.credit, s.paid = min(1.0, s.credit + max(gain - s.paid, 0.0)), max(s.paid - gain, 0.0)
         return [s for s, warmth in warmths if warmth >= 1.0 or s.credit >= 1.0]
 
     def avoided(self, now: int) -> int:
@@ -544,6 +577,28 @@
             self.load.note(now, latency / attempt.base, ok, lost)
         if server.warmth(now, self.settings) >= 1.0:
             self.warm.note(now, waited, ok, lost)
+            self.warm_lately.note(now, waited, ok, lost)
+        elif ok and waited <= 1.0:
+            self._earned(now, server)
+
+    def _earned(self, now: int, server: Server) -> None:
+        """A cold server answered in the usual time: what it answers it can do.
+
+        Guards against starving cold servers, and crowding the few warm ones, where warm rates tell too
+        little. All nodes' calls stay below the multiple of its answers, and below its part of what warm ones
+        answer.
+        """
+        multiple, warm = self.settings.cold_multiple, self._warm_count(now)
+        part = min(1.0, COLD_MOST * multiple * server.warmth(now, self.settings))
+        # As they are now, and as they were: where they are crowded they answer less by the second.
+        lately = self.warm_lately.ends * self.warm_lately.fade(now) / LOAD_HALF_LIFE
+        each = max(lately, self.warm.ends * self.warm.fade(now) / HALF_LIFE) / max(warm, 1)
+        if not warm or server.lately.ends * server.lately.fade(now) <= part * each * LOAD_HALF_LIFE:
+            earned = min(COLD_EARNS, multiple / 2)
+            server.credit, server.paid = min(COLD_KEEPS, server.credit + earned), server.paid + earned
+
+    def _warm_count(self, now: int) -> int:
+        return sum(1 for s in self.servers.values() if s.warmth(now, self.settings) >= 1.0)
 
     def _ended(self, now: int, event: api.AttemptEnded) -> None:
         request = self.requests.get(event.request)
@@ -568,7 +623,7 @@
             self.flow.note(now, attempt.base, True, False)
             need = ROOM * self.flow.time * math.log(2) / LOAD_HALF_LIFE
             if self.strain < GROWTH_MOST and self.grown < need:
-                self.grown += GROWTH * self.pace
+                self.grown += self._growth(now)
             elif self.strain > CROWD_LEAST or self.grown > need:
                 self.grown = max(self.grown - GROWTH * self.pace, 0.0)
         if event.closed or event.status is api.Status.OK or request.closed:
--- /dev/null
+++ b/tests/fleet.py
@@ -0,0 +1,130 @@
+"""Many nodes, each under its referee, before servers that they share: queues, and what cold ones bear."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from dataclasses import dataclass, field
+
+from minthitch.interface import (
+    SECOND, Cancel, ListKind, ListUpdate, Refuse, Send, ServerEntry, Settings, State, Status,
+)
+from tests.rules import MS, Node
+
+IO = 100 * MS  # what a call takes beside its work
+
+
+@dataclass
+class Machine:
+    """A server of one core: one call after another, slower while it is cold."""
+
+    rate: float  # calls a second when it is warm
+    started: int = 0  # 0 = long ago
+    free: int = 0
+    sent: list[int] = field(default_factory=list)
+    served: int = 0
+    out: int = 0
+
+    def can(self, now: int, setup: Settings) -> float:
+        """Calls a second that it can serve now."""
+        age = (now - self.started) / setup.cold_time if self.started else 1.0
+        return self.rate * min(1.0, setup.cold_share + (1 - setup.cold_share) * age)
+
+    def take(self, now: int, setup: Settings) -> int:
+        """When a call that comes now is answered."""
+        self.sent.append(now)
+        self.free = max(self.free, now) + int(SECOND / self.can(now, setup))
+        return self.free + IO
+
+
+class Crew:
+    """`count` nodes that share nothing but their servers; `run` gives them Poisson traffic."""
+
+    def __init__(self, setup: Settings, count: int, machines: dict[int, Machine], seed: int = 1) -> None:
+        self.setup, self.machines, self.random = setup, machines, random.Random(seed)
+        self.nodes = [Node(setup, 1_000 * seed + i) for i in range(count)]
+        self.read = [0] * count  # of each node's log
+        self.events: list[tuple[int, int, int, int, int]] = []  # when, order, node, request, attempt
+        self.order = self.requests = self.refused = self.served = 0
+        self.ended: set[tuple[int, int, int]] = set()
+        self.now = self.nodes[0].now
+
+    def tell(self, kind: ListKind, entries: tuple[ServerEntry, ...]) -> None:
+        for i, node in enumerate(self.nodes):
+            node.wait(self.now - node.now)
+            node.feed(ListUpdate(kind, entries))
+            self._carry_out(i)
+
+    def replace(self, old: list[int], new: list[int]) -> None:
+        """All nodes hear in one instant that servers go, and that others have just started."""
+        for number, before in zip(new, old, strict=True):
+            self.machines[number] = Machine(self.machines[before].rate, self.now)
+        self.tell(ListKind.CHANGES, (
+            *(ServerEntry(s, State.GONE) for s in old), *(ServerEntry(s, started=self.now) for s in new)))
+
+    def run(self, span: int, rate: float) -> None:
+        """`rate` requests a second over all nodes, for `span` ns."""
+        until, at = self.now + span, self.now
+        while (at := at + int(self.random.expovariate(rate) * SECOND)) < until:
+            self._serve(at)
+            i = self.random.randrange(len(self.nodes))
+            self.requests += 1
+            self.refused += Refuse(self.requests) in self.nodes[i].request(self.requests)
+            self._carry_out(i)
+        self._serve(until)
+
+    def _serve(self, until: int) -> None:
+        while self.events and self.events[0][0] <= until:
+            at, _, i, request, attempt = heapq.heappop(self.events)
+            self._advance(at)
+            self._end(i, request, attempt, Status.OK)
+        self._advance(until)
+
+    def _advance(self, at: int) -> None:
+        self.now = at
+        for i, node in enumerate(self.nodes):
+            node.wait(at - node.now)
+            self._carry_out(i)
+
+    def _end(self, i: int, request: int, attempt: int, status: Status) -> None:
+        if (i, request, attempt) in self.ended:
+            return
+        self.ended.add((i, request, attempt))
+        book = self.nodes[i].books[request]
+        machine = self.machines[book.sent[attempt][0]]
+        machine.out -= 1
+        if status is Status.OK:
+            machine.served += 1
+            self.served += not book.answers
+        self.nodes[i].end(request, attempt, status, bool(book.answers))
+        self._carry_out(i)
+
+    def _carry_out(self, i: int) -> None:
+        node = self.nodes[i]
+        while self.read[i] < len(node.log):
+            action = node.log[self.read[i]]
+            self.read[i] += 1
+            if isinstance(action, Send):
+                sent = node.books[action.request].sent
+                attempt = next(k for k, s in enumerate(sent) if (i, action.request, k) not in self.ended
+                               and not any(e[2:] == (i, action.request, k) for e in self.events)
+                               and s[0] == action.server)
+                machine = self.machines[action.server]
+                machine.out += 1
+                self.order += 1
+                heapq.heappush(self.events, (machine.take(self.now, self.setup), self.order, i,
+                                             action.request, attempt))
+            elif isinstance(action, Cancel):
+                self._end(i, action.request, action.attempt, Status.CANCELLED)
+
+    def pushed_over(self, number: int, slack: int = 0) -> list[tuple[int, float]]:
+        """Windows in which a cold server was sent more than the rule allows: calls sent and allowed."""
+        machine, found = self.machines[number], []
+        for first, at in enumerate(machine.sent):
+            if at >= machine.started + self.setup.cold_time:
+                break
+            sent = sum(1 for t in machine.sent[first:] if t < at + self.setup.cold_window)
+            most = self.setup.cold_multiple * machine.can(at, self.setup) * self.setup.cold_window / SECOND
+            if sent > most + slack:
+                found.append((sent, most))
+        return found
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,105 @@
+"""Large fleets: what each node does that is harmless alone, and what all of them do together."""
+
+from __future__ import annotations
+
+import pytest
+
+from minthitch.interface import SECOND, ListKind, ListUpdate, ServerEntry, Status
+from minthitch.policy import FIRST_CALLS
+from tests.fleet import Crew, Machine
+from tests.rules import MS, UNSAFE, Node, entries, settings
+
+WARM = 20.0  # calls a second that a warm server serves
+
+
+def crew(seed: int, count: int = 40, servers: int = 10, load: float = 0.5) -> Crew:
+    made = Crew(settings(siblings=count, cold_share=0.3, cold_time=8 * SECOND), count,
+                {number: Machine(WARM) for number in range(1, servers + 1)}, seed)
+    made.tell(ListKind.CACHED, entries(servers))
+    made.run(8 * SECOND, load * WARM * servers)
+    return made
+
+
+@pytest.mark.parametrize("gone", [6, 10])  # a few warm ones stay, or none
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_forty_nodes_that_hear_of_cold_servers_at_once_keep_their_budget(seed: int, gone: int) -> None:
+    fleet = crew(seed)
+    new = list(range(11, 11 + gone))
+    fleet.replace(list(range(1, gone + 1)), new)
+    fleet.run(8 * SECOND, 0.5 * WARM * 10)
+    for number in new:
+        assert len(fleet.machines[number].sent) > 20, "a cold server must fill up"
+        assert not fleet.pushed_over(number)
+
+
+def sent_to_cold(answer: Status, latency: int) -> int:
+    """Calls that a new server gets in ten rounds; before, the warm ones answered a call a second."""
+    node, sent = Node(settings(siblings=7, tier=1), 3), 0
+    node.listed(4)
+    for _ in range(10):
+        node.train(1)
+        node.wait(900 * MS)
+    node.feed(ListUpdate(ListKind.CHANGES, (ServerEntry(9, started=node.now),)))
+    for first in range(0, 80, 8):  # eight at a time, so that each server that may take one gets one
+        for number in range(first, first + 8):
+            node.request(number, UNSAFE)
+        at, cold = node.now, {n for n in range(first, first + 8) if node.books[n].sent[0][0] == 9}
+        ends = [(at + (latency if n in cold else 100 * MS), n) for n in range(first, first + 8)]
+        for due, number in sorted(ends):
+            node.wait(due - node.now)
+            node.end(number, 0, answer if number in cold else Status.OK)
+        node.wait(at + SECOND - node.now)
+        sent += len(cold)
+    return sent
+
+
+def test_a_cold_server_earns_calls_by_its_own_answers() -> None:
+    """Filled by what warm ones answer alone, six new ones got 5 calls each in 2 s while four old ones had 17
+    out, where 8 make them slow for long (join+vast, c585365e)."""
+    assert sent_to_cold(Status.OK, 50 * MS) >= 8
+    assert sent_to_cold(Status.ERROR, 50 * MS) <= 4, "an error earns nothing"
+    assert sent_to_cold(Status.OK, 900 * MS) <= 4, "nor does a late answer"
+
+
+def full(count: int, started: int = 0) -> ListUpdate:
+    return ListUpdate(ListKind.FULL, entries(count, started))
+
+
+def trained() -> Node:
+    node = Node(settings(siblings=4))
+    node.listed(8)
+    node.queue(100, 60 * MS, 200 * MS)
+    return node
+
+
+def test_what_may_be_out_goes_with_the_servers_that_are_left() -> None:
+    """Calls that eight servers bore crowd the four that are left, before any answer tells of it."""
+    node = trained()
+    node.request(1)
+    before = node.balancer.grown
+    node.feed(full(4))
+    node.request(2)
+    assert before > 0
+    assert node.balancer.grown == pytest.approx(before / 2, rel=0.05)
+
+
+def test_cold_servers_count_by_what_they_can_do() -> None:
+    node = trained()
+    node.feed(full(8, started=node.now))
+    node.request(1)
+    assert node.balancer.room == pytest.approx(8 * node.setup.cold_share, rel=0.05)
+    assert FIRST_CALLS * node.balancer.room / node.setup.siblings < 8
+
+
+def test_after_a_loss_the_window_grows_slowly_for_a_while() -> None:
+    """At its usual pace it made up for four servers of ten in two seconds (disco+vast, 9ed38163)."""
+    lost, kept = trained(), trained()
+    lost.feed(full(4))
+    for node in (lost, kept):
+        node.balancer.grown = 0.5
+        node.queue(30, 60 * MS, 50 * MS)
+    assert lost.balancer.grown < 0.5 + 0.3 * (kept.balancer.grown - 0.5)
+    lost.wait(15 * SECOND)
+    before = lost.balancer.grown
+    lost.queue(30, 60 * MS, 50 * MS)
+    assert lost.balancer.grown > before + 0.5
