Over its bound a cold server keeps part of what it answers; what it earned is not held against it

Two faults of in policy.py: `_earned` added what answers earned to `paid` without bound, so that time gave the server nothing for as long as it was cold; and over its bound, which falls as the warm ones are crowded, it earned nothing at all. Ruled out: fewer nodes knowing of the new servers (all seven, within 0.1 s), failed connects (none).

The change: `paid` holds the last answer's calls only; over its bound an answer earns 0.75 of a call, so that the rate fades and is not cut off; sends are counted over a quarter of the rule's window, the first of each node left out.

--- a/minthitch/policy.py
+++ b/minthitch/policy.py
@@ -38,8 +38,9 @@
 CROSSING = 1.5  # price of a server in another zone, as a multiple, where crossings are charged for
 COLD_PART = 0.5  # part of a cold server's budget that is used: one node's guess at warm rates is rough
 COLD_EARNS = 1.5  # calls that a cold server's answer in the usual time earns it: half of the usual multiple
-COLD_MOST = 0.6  # part of its budget, by what warm ones answer, up to which its own answers earn it calls
-COLD_KEEPS = 3.0  # calls that a cold server may have in hand at one node; over one, they fade in its window
+COLD_MOST = 0.4  # part of its budget, by what warm ones answer, up to which its own answers earn it calls
+COLD_HOLDS = 0.75  # the same over that: what it has shown it can do fades by and by, and is not cut off
+COLD_KEEPS = 2.0  # calls that a cold server may have in hand at one node; over one, they fade in its window
 FIRST_CALLS = 2.5  # calls out a server, over all nodes, that any bears: so many before answers tell more,
 GROWTH = 0.25  # and further calls for each answer while queues do not build; as many fewer over CROWD_LEAST
 LOSS = 0.05  # part of the servers' room whose loss at once slows growth for HALF_LIFE, and
@@ -186,10 +187,10 @@
     __slots__ = ("entry", "own", "open", "open_rate", "open_sent", "credit", "credit_at", "links", "used",
                  "lately", "paid")
 
-    def __init__(self, entry: api.ServerEntry, now: int, credit: float) -> None:
+    def __init__(self, entry: api.ServerEntry, now: int, credit: float, window: int) -> None:
         self.entry, self.own = entry, Evidence(HALF_LIFE)
         self.paid = 0.0  # calls that its answers earned it, which time does not give it once more
-        self.lately = Evidence(LOAD_HALF_LIFE)  # calls sent while it is cold
+        self.lately = Evidence(window // 4)  # calls sent while it is cold
         self.open = 0  # this node's attempts that are out; below, sums over them
         self.open_rate = self.open_sent = 0.0  # 1 / usual time; send time / usual time
         self.credit, self.credit_at = credit, now  # calls a cold server may still get
@@ -334,7 +335,8 @@
             if entry.state is not api.State.READY:
                 self.servers.pop(entry.server, None)
             elif known is None or known.entry.started != entry.started:
-                self.servers[entry.server] = Server(entry, now, self.random.random())
+                credit = self.random.random()  # or all nodes would send at once
+                self.servers[entry.server] = Server(entry, now, credit, self.settings.cold_window)
             else:
                 known.entry = entry
 
@@ -593,9 +595,10 @@
         # As they are now, and as they were: where they are crowded they answer less by the second.
         lately = self.warm_lately.ends * self.warm_lately.fade(now) / LOAD_HALF_LIFE
         each = max(lately, self.warm.ends * self.warm.fade(now) / HALF_LIFE) / max(warm, 1)
-        if not warm or server.lately.ends * server.lately.fade(now) <= part * each * LOAD_HALF_LIFE:
-            earned = min(COLD_EARNS, multiple / 2)
-            server.credit, server.paid = min(COLD_KEEPS, server.credit + earned), server.paid + earned
+        sent = server.lately.ends * server.lately.fade(now) - 1.0  # of many nodes each has sent one at least
+        below = not warm or sent <= part * each * server.lately.half_life
+        earned = min(COLD_EARNS if below else COLD_HOLDS, multiple / 2)
+        server.credit, server.paid = min(COLD_KEEPS, server.credit + earned), earned
 
     def _warm_count(self, now: int) -> int:
         return sum(1 for s in self.servers.values() if s.warmth(now, self.settings) >= 1.0)
--- a/tests/test_curve.py
+++ b/tests/test_curve.py
@@ -30,7 +30,7 @@
     monkeypatch.setattr(policy, "FITS_MOST", 5)
     monkeypatch.setattr(policy, "fit_curve", lambda mean, share, most: (1.0, mean))
     node = policy.Balancer(api.Settings(classes=(api.RequestClass("a", api.SECOND, api.SECOND),)), 1)
-    server = policy.Server(api.ServerEntry(1), 0, 1.0)
+    server = policy.Server(api.ServerEntry(1), 0, 1.0, api.SECOND)
     for i in range(40):
         server.own.note(0, 0.1 + i, True, False)
         node._candidate(0, 1.0, server)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -61,6 +61,26 @@
     assert sent_to_cold(Status.OK, 900 * MS) <= 4, "nor does a late answer"
 
 
+def test_a_cold_server_is_not_starved_while_the_warm_ones_are_crowded() -> None:
+    """What answers had earned once was held against it for ever: new servers with 20 calls in 1.5 s
+    got one then, while the old ones had 27 out each (join+vast, seed 17, 7a29cb9f)."""
+    node, sent = Node(settings(siblings=7, tier=1), 3), []
+    node.listed(4)
+    for _ in range(10):
+        node.train(1)
+    node.feed(ListUpdate(ListKind.CHANGES, (ServerEntry(9, started=node.now),)))
+    for number in range(240):
+        node.request(number, UNSAFE)
+        if node.books[number].sent[0][0] == 9:
+            sent.append(number)
+            node.wait(20 * MS)
+            node.end(number, 0, Status.OK)
+        if number >= 40 and number - 40 not in sent:
+            node.end(number - 40, 0, Status.OK)
+        node.wait(25 * MS)
+    assert len([n for n in sent if n >= 120]) >= 20
+
+
 def full(count: int, started: int = 0) -> ListUpdate:
     return ListUpdate(ListKind.FULL, entries(count, started))
 
