--- a/minthitch/cli/commands.py
+++ b/minthitch/cli/commands.py
@@ -11,7 +11,7 @@
 
 from minthitch import config as platform
 from minthitch import operatorfile
-from minthitch.cli import lab, record
+from minthitch.cli import fleet, lab, record
 from minthitch.config import MOST_SOCKETS, Config, ConfigError
 from minthitch.listing import ListError, parse_address, static_listing
 from minthitch.program import complain, run
@@ -35,8 +35,10 @@
     demo = commands.add_parser("demo", help="stand-in servers, discovery, a node and traffic on loopback")
     demo.add_argument("--seconds", type=float, default=20.0, help="how long (1 to 600; 20)")
     demo.add_argument("--plain", action="store_true", help="lines instead of a live table")
+    commands.add_parser("traced", help="the platform's start, with each event and action in the log")
     record.add_to(commands)
     lab.add_to(commands)
+    fleet.add_to(commands)
     return top
 
 
@@ -94,8 +96,15 @@
             return 0
         if args.command == "record":
             return record.main(args)
+        if args.command == "fleet":
+            return fleet.main(args)
         if args.command == "lab":
             return lab.main(args)
+        if args.command == "traced":
+            path = os.environ.get("BALANCER_CONFIG", "")
+            if not path:
+                raise ConfigError("BALANCER_CONFIG names no file")
+            return run(read(path), lambda: read(path), trace=True)
         if args.command == "serve":
             return run(_flags(args), lambda: _flags(args))
     except ConfigError as err:
--- /dev/null
+++ b/minthitch/engine/trace.py
@@ -0,0 +1,82 @@
+"""Each event and action of a node's decisions as a line, for counts across a fleet. Off by default.
+
+A line is `# MS MARK FIELDS`: MS on the machine's monotonic clock, MARK one of
+`l` list, `a` arrival, `s` send, `e` end of an attempt, `c` cancel, `r` refusal, `f` failure, `t` timer fired.
+Servers are written as `name/born_ms`, the same at every node.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from minthitch import interface as api
+from minthitch.engine.fleet import Fleet
+from minthitch.policy import Balancer
+
+MOST_NAMES = 10_000  # servers' names held
+FLUSH_FROM = 4_096  # characters that wait to be written at most, beside the line that goes over
+
+
+class Traced(Balancer):
+    """A Balancer that tells what it is given and what it does; it decides as the other."""
+
+    def __init__(self, settings: api.Settings, seed: int, write: Callable[[str], object]) -> None:
+        super().__init__(settings, seed)
+        self.write = write
+        self.fleet: Fleet | None = None  # where servers' names come from
+        self.names: dict[int, str] = {}  # as last seen: one that is gone is still written by its name
+        self.waiting: list[str] = []
+        self.size = 0
+
+    def handle(self, now: int, event: api.Event) -> list[api.Action]:
+        actions = super().handle(now, event)
+        at = now // api.MILLISECOND
+        if (text := self._event(event)) is not None:
+            self._line(f"# {at} {text}")
+        for action in actions:
+            if (text := self._action(action)) is not None:
+                self._line(f"# {at} {text}")
+        return actions
+
+    def _line(self, text: str) -> None:
+        self.waiting.append(text)
+        self.size += len(text) + 1
+        if self.size > FLUSH_FROM:
+            self.flush()
+
+    def flush(self) -> None:
+        if self.waiting:
+            self.write("\n".join(self.waiting) + "\n")
+            self.waiting, self.size = [], 0
+
+    def _name(self, number: int) -> str:
+        server = self.fleet.addresses.get(number) if self.fleet is not None else None
+        if server is not None:
+            if len(self.names) >= MOST_NAMES:  # danger: a list that changes for weeks would fill the memory
+                self.names.pop(next(iter(self.names)))
+            self.names[number] = f"{server.name}/{server.born_ms}"
+        return self.names.get(number, f"?{number}")
+
+    def _event(self, event: api.Event) -> str | None:
+        if isinstance(event, api.RequestArrived):
+            return f"a {event.request} {self.settings.classes[event.cls].name} {int(event.repeat)}"
+        if isinstance(event, api.AttemptEnded):
+            return (f"e {event.request} {event.attempt} {self._name(event.server)} "
+                    f"{event.status.name} {event.latency // api.MILLISECOND} {int(event.closed)}")
+        if isinstance(event, api.ListUpdate):
+            rows = " ".join(f"{self._name(e.server)}:{e.state.name}" for e in event.entries)
+            return f"l {event.kind.name} {self.settings.tier} {rows}"
+        return None
+
+    def _action(self, action: api.Action) -> str | None:
+        if isinstance(action, api.Send):
+            return f"s {action.request} {self._name(action.server)}"
+        if isinstance(action, api.Cancel):
+            return f"c {action.request} {action.attempt}"
+        if isinstance(action, (api.Refuse, api.Fail)):
+            mark = "r" if isinstance(action, api.Refuse) else "f"
+            part = len(self.servers) / self.settings.siblings
+            return (f"{mark} {action.request} strain={self.strain:.2f} crowd={self.crowd:.2f} "
+                    f"busy={self.busy:.2f} out={self.out} grown={self.grown:.2f} part={part:.2f} "
+                    f"spare={self.spare:.1f} calm={self.calm:.2f} load={self.load_now:.2f}")
+        return None
--- /dev/null
+++ b/minthitch/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Many nodes looked at together."""
--- a/minthitch/net/node.py
+++ b/minthitch/net/node.py
@@ -15,7 +15,7 @@
 from minthitch.engine.core import Engine, pause_when_full
 from minthitch.engine.counts import Figures
 from minthitch.engine.fields import Reader
-from minthitch.engine.ports import StaticSource
+from minthitch.engine.ports import Decider, StaticSource
 from minthitch.log import LineLog
 from minthitch.net.callers import Caller, Callers, Incoming
 from minthitch.net.discovery import Discovery
@@ -41,12 +41,12 @@
 class Node:
     """Listens for HTTP/1.1 callers at `config.listen`. Lives on the running loop."""
 
-    def __init__(self, config: Config) -> None:
+    def __init__(self, config: Config, decider: Decider | None = None) -> None:
         self.config, self.settings = config, config.settings
         self.loop = asyncio.get_running_loop()
         self.log = LineLog(lambda text: print(f"{config.name}: {text}", file=sys.stderr, flush=True))
         self.engine = Engine(config.settings, config.seed, LoopClock(self.loop), self.log,
-                             self._check_finished)
+                             self._check_finished, decider)
         self.reader = Reader(config.settings)
         self.door = Door()
         self.pool = self.engine.carrier = Pool(config.settings, 1)
--- a/minthitch/program.py
+++ b/minthitch/program.py
@@ -28,12 +28,25 @@
         node.log(f"configuration not taken: {' '.join(str(err).split())}")
 
 
-async def serve(config: Config, read: Callable[[], Config]) -> None:
+def traced(config: Config) -> Node:
+    """A node that writes each event and action to the log, for `fleet count`."""
+    import atexit
+
+    from minthitch.engine.trace import Traced  # not loaded where it is off
+
+    decider = Traced(config.settings, config.seed, sys.stderr.write)
+    atexit.register(decider.flush)
+    node = Node(config, decider)
+    decider.fleet = node.engine.fleet
+    return node
+
+
+async def serve(config: Config, read: Callable[[], Config], trace: bool = False) -> None:
     """Runs a node until it has drained.
 
     Raises OSError if it can't listen, ConfigError for its store or its operators' listener.
     """
-    node = Node(config)
+    node = traced(config) if trace else Node(config)
     recording = None
     if config.record is not None:
         from minthitch.record.attach import Recording  # not loaded where it is off
@@ -69,11 +82,11 @@
     await node.stop()
 
 
-def run(config: Config, read: Callable[[], Config]) -> int:
+def run(config: Config, read: Callable[[], Config], trace: bool = False) -> int:
     """Runs a node in the foreground. Gives the exit code: 0, or 1 if its address can't be bound."""
     try:
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(serve(config, read))
+            runner.run(serve(config, read, trace))
     except ConfigError as err:
         return complain(err)
     except OSError as err:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import pytest
 
 from minthitch.interface import SECOND, ListKind, ListUpdate, ServerEntry, Status
@@ -123,3 +125,13 @@
     before = lost.balancer.grown
     lost.queue(30, 60 * MS, 50 * MS)
     assert lost.balancer.grown > before + 0.5
+
+
+def test_what_may_be_out_is_bounded_by_what_the_answers_need() -> None:
+    """At twice that, bursts put 10 calls on servers that turn slow at 8, and stay so (d8d384f0)."""
+    node = Node(settings(siblings=4))
+    node.listed(8)
+    node.queue(400, 25 * MS, 100 * MS)
+    needed = node.balancer.flow.time * math.log(2) / (2 * SECOND)  # calls out, at their usual times
+    assert 4.0 <= needed <= 5.0
+    assert needed < node.balancer.grown <= 1.6 * needed
--- /dev/null
+++ b/tests/test_fleet_count.py
@@ -0,0 +1,140 @@
+"""Traces of nodes, and what is counted from them over a fleet."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from minthitch.engine import trace
+from minthitch.engine.fleet import Fleet as Servers
+from minthitch.engine.trace import Traced
+from minthitch.fleet.count import Fleet, count, parse
+from minthitch.fleet.shown import lines
+from minthitch.interface import (
+    SECOND, AttemptEnded, Event, ListKind, ListUpdate, RequestArrived, Send, Status,
+)
+from minthitch.listing import Host, Listing
+from minthitch.policy import Balancer
+from tests.rules import MS, entries, settings
+from tests.test_cli import command
+
+SAMPLE = {
+    "n0": ["0.1 n0: a plain line", "# 1000 l FULL 0 s1/0:READY s2/0:READY", "# 1000 a 1 read 0",
+           "# 1000 s 1 s1/0", "# 1200 e 1 0 s1/0 OK 200 1", "# 1300 a 2 read 1", "# 1300 r 2 strain=1.0",
+           "# 2000 a 3 read 0", "# 2010 s 3 s2/0", "# 2020 e 3 0 s2/0 CONNECT_FAILED 10 0",
+           "# 2020 s 3 s1/0", "# 2500 r 3 strain=1.0", "# 2500 c 3 1", "# 2500 e 3 1 s1/0 CANCELLED 480 1"],
+    "n1": ["# 1100 l CHANGES 0 s2/0:READY", "# 1400 a 1 read 0", "# 1900 r 1 strain=1.0", "# 2100 a 2 buy 0",
+           "# 2100 s 2 s1/0", "# 2400 f 2 strain=1.0", "# 2400 e 2 0 s1/0 RESET 300 1",
+           "# 2600 l CHANGES 0 s2/0:DRAINING", "# 2700 e 9 0 s1/0 NOSUCH 1 1", "# 2800 z"],
+}
+
+
+def sample() -> Fleet:
+    return count(dict(SAMPLE), 1.0)
+
+
+def test_refusals_are_told_apart_by_what_went_before() -> None:
+    first, second = sample().windows["0", 0], sample().windows["0", 1]
+    assert (first.refused_now, first.refused_held, first.refused_after) == (1, 1, 0)
+    assert (second.refused_now, second.refused_held, second.refused_after) == (0, 0, 1)
+    assert second.failed == 1
+
+
+def test_sends_and_ends_are_counted_over_all_nodes() -> None:
+    first, second = sample().windows["0", 0], sample().windows["0", 1]
+    assert (first.arrivals, first.repeats, first.sends, first.further) == (3, 1, 1, 0)
+    assert (second.arrivals, second.sends, second.further, second.cancels) == (2, 3, 1, 1)
+    assert dict(second.ends) == {"CONNECT_FAILED": 1, "CANCELLED": 1, "RESET": 1}
+
+
+def test_calls_out_at_a_server_are_those_of_all_nodes() -> None:
+    server = sample().servers["0"]["s1/0"]
+    assert (server.out[0], server.out[1], server.now_out) == (1, 2, 0)
+
+
+def test_who_heard_of_a_server_when() -> None:
+    server = sample().servers["0"]["s2/0"]
+    assert server.heard == {"n0": 1000, "n1": 1100}
+    assert server.left == {"n1": 2600}
+    assert server.first_sends == {1: 1}
+
+
+def test_lines_that_can_not_be_read_are_counted_and_spoil_nothing() -> None:
+    fleet = sample()
+    assert fleet.odd == 2
+    assert list(lines(fleet, servers=True))[-1] == "2 lines could not be read"
+
+
+def test_open_requests_of_a_node_are_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("minthitch.fleet.count.MOST_OPEN", 10)
+    fleet = count({"n": [f"# 1 a {n} read 0" for n in range(50)]}, 1.0)
+    assert len(fleet.nodes["n"].open) == 10
+    assert fleet.windows["?", 0].arrivals == 50
+
+
+@pytest.mark.parametrize("line", ["", "# ", "# x a 1", "0.1 n0: refusing: load 1.5", "# 12"])
+def test_other_lines_are_passed_over(line: str) -> None:
+    assert parse(line) is None
+
+
+def test_a_traced_balancer_decides_as_the_other_and_its_lines_are_counted() -> None:
+    written: list[str] = []
+    traced, plain = Traced(settings(), 3, written.append), Balancer(settings(), 3)
+    traced.fleet = Servers(settings())
+    traced.fleet.apply(Listing(1, True, (Host("a", "127.0.0.1", 1), Host("b", "127.0.0.1", 2))),
+                       ListKind.FULL, SECOND, 0)
+    now = 10 * SECOND
+    for number in range(40):
+        events: list[Event] = [] if number else [ListUpdate(ListKind.CACHED, entries(2))]
+        for event in [*events, RequestArrived(number, 0, now + SECOND)]:
+            actions = traced.handle(now, event)
+            assert actions == plain.handle(now, event)
+        for index, action in enumerate(a for a in actions if isinstance(a, Send)):
+            end = AttemptEnded(number, index, action.server, Status.OK, 100 * MS, True)
+            assert traced.handle(now + 100 * MS, end) == plain.handle(now + 100 * MS, end)
+        now += SECOND
+    traced.flush()
+    fleet = count({"n": "".join(written).splitlines()}, 1_000.0)
+    total = fleet.windows["0", 0]
+    assert total.arrivals == 40 and total.ends["OK"] == total.sends and fleet.odd == 0
+    assert set(fleet.servers["0"]) == {"a/0", "b/0"}
+
+
+def test_a_server_that_is_gone_is_written_by_its_name(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(trace, "MOST_NAMES", 3)
+    traced = Traced(settings(), 3, lambda text: None)
+    traced.fleet = Servers(settings())
+    for number in range(1, 6):
+        listing = Listing(number, True, (Host(f"h{number}", "127.0.0.1", 1),))
+        traced.fleet.apply(listing, ListKind.FULL, SECOND, 0)
+        assert traced._name(number) == f"h{number}/0"
+    assert traced._name(4) == "h4/0", "no list names it any more"
+    assert (traced._name(1), len(traced.names)) == ("?1", 3)
+
+
+def test_what_waits_to_be_written_is_bounded() -> None:
+    written: list[str] = []
+    traced = Traced(settings(), 3, written.append)
+    for number in range(1_000):
+        traced.handle(number, RequestArrived(number, 0, SECOND))
+        assert traced.size <= trace.FLUSH_FROM
+    assert written
+
+
+def test_the_command_counts_a_folder(tmp_path: Path) -> None:
+    for name, rows in SAMPLE.items():
+        (tmp_path / f"{name}.log").write_text("\n".join(rows))
+    ran = command("fleet", "count", str(tmp_path), "--servers")
+    assert ran.returncode == 0
+    assert ran.stdout.startswith("tier 0: 2 nodes, 2 servers\n     0.0 s  arrivals 3 (again 1)  sends 1")
+    assert "s2/0: named to 2 nodes within 100 ms, withdrawn by 1" in ran.stdout
+
+
+@pytest.mark.parametrize(("words", "said"), [
+    (("nosuch",), "folder nosuch: no log of a node that ran `traced`"),
+    (("nosuch", "--window", "0"), "--window 0.0 is not from 0.1 to 3600.0"),
+])
+def test_a_folder_or_window_that_can_not_be_used_is_one_line(words: tuple[str, ...], said: str) -> None:
+    ran = command("fleet", "count", *words)
+    assert (ran.returncode, ran.stderr) == (2, f"minthitch: {said}\n")
