An odd entry of a list is left out for itself, and the rest is used

`listing.parse_listing` turned a list down whole for one entry that could not be read, and the watch was opened again: while discovery sends such an entry in each list, no node learns of a drain or a new server. Ruled out: leaving it out without more. Left out of a whole list, its server would be withdrawn; left out though it says draining, its server would be sent to past the grace.

The change: entries are read each for itself; what is left out is one log line a list, its server stays as it was known in a whole list, and is withdrawn where the entry still says that it drains or is gone. A list without one entry that can be used is turned down as before, or it would withdraw all servers.

--- a/minthitch/engine/core.py
+++ b/minthitch/engine/core.py
@@ -331,6 +331,9 @@
 
     def listed(self, listing: Listing, kind: api.ListKind) -> None:
         """A list has come: the whole one, its changes, or the one last held (CACHED)."""
+        if listing.odd:
+            name, why = listing.odd[0]
+            self.log(f"list {listing.seq}: entries left out: {len(listing.odd)}, first {name[:60]!r}: {why}")
         entries, hang_up = self.fleet.apply(listing, kind, self.clock.now(), self.clock.wall())
         if self.carrier is not None:
             for server in hang_up:
--- a/minthitch/engine/fleet.py
+++ b/minthitch/engine/fleet.py
@@ -53,7 +53,8 @@
         self._now, self._wall, self._hang_up = now, wall, []
         entries = tuple(entry for host in listing.hosts if (entry := self._entry(host)))
         if kind is not api.ListKind.CHANGES:
-            named = {host.name for host in listing.hosts}
+            # Danger: one odd entry would take its server, which serves well, out of a whole list.
+            named = {host.name for host in listing.hosts} | {name for name, _ in listing.odd}
             for name in [name for name in self.servers if name not in named]:
                 self._gone(name)
         self.seq = listing.seq
--- a/minthitch/listing.py
+++ b/minthitch/listing.py
@@ -1,4 +1,4 @@
-"""The list of servers as values: read whole or not at all. No I/O."""
+"""The list of servers as values. An entry that can't be read is left out, and said. No I/O."""
 
 from __future__ import annotations
 
@@ -36,6 +36,7 @@
     seq: int
     whole: bool
     hosts: tuple[Host, ...]
+    odd: tuple[tuple[str, str], ...] = ()  # entries left out: the host's name, or "", and why
 
 
 def parse_address(text: object) -> tuple[str, int]:
@@ -82,12 +83,32 @@
                 _whole(row, "block", 0), state, float(weight), _whole(row, "born_ms", 0))
 
 
+def _withdrawn(row: object) -> Host | None:
+    """What an entry that can't be read says all the same: that its server is to get nothing new.
+
+    Danger: left out like the others, a server that drains or is gone would be sent to past its grace.
+    """
+    if isinstance(row, dict) and isinstance(row.get("host"), str) and row.get("health") in STATES[1:]:
+        return Host(row["host"], "", 0, state="removed")
+    return None
+
+
 def parse_listing(value: object) -> Listing:
-    """A list or a change of it, from decoded JSON. It is taken whole or not at all. Raises ListError."""
+    """A list or a change of it, from decoded JSON; its entries each for itself. Raises ListError."""
     if not isinstance(value, dict) or not isinstance(value.get("hosts"), list):
         raise ListError("no list of hosts")
-    return Listing(_whole(value, "seq", None), value.get("whole") is True,
-                   tuple(_host(row) for row in value["hosts"]))
+    hosts, odd = list[Host](), list[tuple[str, str]]()
+    for row in value["hosts"]:
+        try:
+            hosts.append(_host(row))
+        except ListError as err:
+            name = row.get("host") if isinstance(row, dict) else None
+            odd.append((name if isinstance(name, str) else "", str(err)))
+            if (gone := _withdrawn(row)) is not None:
+                hosts.append(gone)
+    if odd and not hosts:
+        raise ListError(f"no entry can be used ({odd[0][1]})")
+    return Listing(_whole(value, "seq", None), value.get("whole") is True, tuple(hosts), tuple(odd))
 
 
 def decode(text: bytes) -> Listing:
