--- a/minthitch/lab/scenario.py
+++ b/minthitch/lab/scenario.py
@@ -62,6 +62,17 @@
     restart: str = "5s"  # one that fell over is back after this
 
 
+class Choke(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """When a server that holds too many calls turns slow, and when it recovers."""
+
+    at: float = 0.0  # calls held on average, running or waiting, beyond which it does; 0 = never
+    over: str = "2s"  # the time of that average
+    slower: float = 2.5  # its speed is divided by this
+    below: float = 0.3  # part of its cores at work, on average over `rest`, under which it recovers
+    rest: str = "3s"
+    most: str = "25s"  # and after this in any case
+
+
 class Tier(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     """Servers of one kind of work, and the balancers before them."""
 
@@ -78,6 +89,7 @@
     kinds: tuple[float, ...] = (1.0,)  # speeds, given by turns
     calls: int = 0  # to the next tier, one after another
     cold: Cold = Cold()
+    choke: Choke = Choke()
 
 
 class Network(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
@@ -197,6 +209,16 @@
     _need(cold.multiple > 0, f"{where}.cold.multiple", cold.multiple, "is not above 0")
     for name in ("time", "window", "restart"):
         span(getattr(cold, name), f"{where}.cold.{name}")
+    _check_choke(tier.choke, f"{where}.choke")
+
+
+def _check_choke(choke: Choke, where: str) -> None:
+    _need(choke.at >= 0, f"{where}.at", choke.at, "is below 0")
+    _need(choke.slower >= 1, f"{where}.slower", choke.slower, "is below 1")
+    _need(0 < choke.below <= 1, f"{where}.below", choke.below, "is not above 0 and up to 1")
+    for name in ("over", "rest", "most"):
+        text = getattr(choke, name)
+        _need(span(text, f"{where}.{name}") > 0, f"{where}.{name}", text, "is not above 0")
 
 
 def _check_load(load: Load, names: Sequence[str]) -> None:
--- a/minthitch/lab/servers.py
+++ b/minthitch/lab/servers.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 from minthitch.interface import Status
+from minthitch.lab.choke import Choking
 from minthitch.lab.heap import Heap
 from minthitch.lab.ledger import Ledger
 from minthitch.lab.scenario import Tier, span
@@ -37,7 +38,7 @@
 
     __slots__ = ("heap", "ledger", "tier", "name", "number", "cell", "zone", "kind", "speed", "up", "born",
                  "epoch", "silent", "factor", "errors", "busy", "held", "queue", "recent", "recent_work",
-                 "served", "falls", "stream", "below", "on_fall", "cold_time", "window", "work_done")
+                 "served", "falls", "stream", "below", "on_fall", "cold_time", "window", "work_done", "choke")
 
     def __init__(self, heap: Heap, ledger: Ledger, tier: Tier, number: int, stream: Stream,
                  below: Below | None, on_fall: Callable[[ServerModel], None]) -> None:
@@ -56,6 +57,7 @@
         self.recent_work = 0
         self.served = self.falls = 0
         self.work_done = 0  # ns of CPU
+        self.choke = Choking(tier.choke, tier.cores)
 
     def warmth(self, now: int) -> float:
         """The part of its speed that it has."""
@@ -72,6 +74,7 @@
             job.reply(Status.FULL)
             return
         self.held += 1
+        self._look()
         self.ledger.took(now, job.number, self.cell, self.zone)
         if self.silent:
             return  # it holds it, and says nothing any more
@@ -82,6 +85,9 @@
         else:
             self.queue.append(job)
 
+    def _look(self) -> None:
+        self.choke.look(self.heap.time, self.held, self.busy)
+
     def _pushed(self, now: int, work: int) -> bool:
         """Whether this one is more than a cold server bears: it falls over, with all that it holds."""
         self.recent.append((now, work))
@@ -98,7 +104,9 @@
 
     def _start(self, job: Job) -> None:
         self.busy += 1
-        took = max(int(job.work / (self.speed * self.factor * self.warmth(self.heap.time))), LEAST_WORK)
+        self._look()
+        speed = self.speed * self.factor * self.choke.factor * self.warmth(self.heap.time)
+        took = max(int(job.work / speed), LEAST_WORK)
         self.work_done += took
         epoch = self.epoch
         self.heap.post(took, lambda: self._computed(job, epoch))
@@ -122,6 +130,7 @@
         if epoch != self.epoch:
             return
         self.held -= 1
+        self._look()
         if self.silent:
             return
         if status is Status.OK and self.errors and self.stream.uniform() < self.errors:
@@ -136,6 +145,7 @@
         self.busy = self.held = self.recent_work = 0
         self.queue.clear()
         self.recent.clear()
+        self.choke.reset(self.heap.time)
 
     def start(self) -> None:
         """A new process, cold."""
