An odd entry in a whole list leaves its server with the decisions too

Seen when the change was read once more; its test asked the fleet only. Ruled out: changes of a list, which name only what they change.

The change: `Fleet.apply` gives the entry as last known; the test asks the Balancer as well, and fails without it.

--- a/minthitch/engine/fleet.py
+++ b/minthitch/engine/fleet.py
@@ -54,7 +54,9 @@
         entries = tuple(entry for host in listing.hosts if (entry := self._entry(host)))
         if kind is not api.ListKind.CHANGES:
             # Danger: one odd entry would take its server, which serves well, out of a whole list.
-            named = {host.name for host in listing.hosts} | {name for name, _ in listing.odd}
+            odd = {name for name, _ in listing.odd}
+            entries += tuple(self.servers[name].entry for name in sorted(odd) if name in self.servers)
+            named = {host.name for host in listing.hosts} | odd
             for name in [name for name in self.servers if name not in named]:
                 self._gone(name)
         self.seq = listing.seq
--- a/tests/test_odd_lists.py
+++ b/tests/test_odd_lists.py
@@ -7,8 +7,9 @@
 import pytest
 
 from minthitch.engine.fleet import Fleet
-from minthitch.interface import SECOND, ListKind, ServerEntry, State
+from minthitch.interface import SECOND, ListKind, ListUpdate, ServerEntry, State
 from minthitch.listing import Listing, ListError, parse_listing
+from minthitch.policy import Balancer
 from tests.rules import settings
 
 GOOD = ({"host": "a", "dial": "127.0.0.1:1"}, {"host": "b", "dial": "127.0.0.1:2"})
@@ -39,8 +40,11 @@
 
 def test_an_odd_entry_does_not_withdraw_a_server_that_was_named_before() -> None:
     fleet = Fleet(settings())
-    applied(fleet, listing(*GOOD))
-    applied(fleet, listing(GOOD[0], {"host": "b", "dial": "nowhere"}, seq=2))
+    balancer = Balancer(settings(), 1)
+    balancer.handle(SECOND, ListUpdate(ListKind.FULL, applied(fleet, listing(*GOOD))))
+    entries = applied(fleet, listing(GOOD[0], {"host": "b", "dial": "nowhere"}, seq=2))
+    balancer.handle(SECOND, ListUpdate(ListKind.FULL, entries))
+    assert set(balancer.servers) == {fleet.servers[name].number for name in "ab"}
     assert set(fleet.servers) == {"a", "b"} and fleet.servers["b"].usable
 
 
