--- a/minthitch/cli/lab.py
+++ b/minthitch/cli/lab.py
@@ -46,6 +46,13 @@
     replay.add_argument("--want", type=int, default=1, help="the how manyth that was asked for")
     replay.add_argument("--set", action="append", default=[], metavar="KEY=VALUE", dest="changes")
     replay.add_argument("--chooser", default="minthitch")
+    hunt = words.add_parser("hunt", help="search drawn days of the large fleet for one that fails its gate")
+    hunt.add_argument("family", help="calm, roll, herd, zone, split, join; or all")
+    hunt.add_argument("--seeds", type=int, default=20, metavar="N", help="days a family (20)")
+    hunt.add_argument("--from", type=int, default=1, metavar="SEED", dest="first",
+                      help="of the first day (1)")
+    hunt.add_argument("--jobs", type=int, default=1, metavar="N", help="processes")
+    hunt.add_argument("--keep", type=Path, metavar="DIR", help="write the worst failing day there, cut down")
     load = words.add_parser("load", help="load a real node: open loop, every answer checked")
     load.add_argument("url", help="http://ADDRESS:PORT of the node's listener")
     load.add_argument("scenario")
@@ -208,9 +215,33 @@
     return 1 if heard.wrong else 0
 
 
+def _hunt(args: argparse.Namespace) -> int:
+    from minthitch.lab.drawn import FAMILIES
+    from minthitch.lab.trial import keep, search
+
+    if args.family != "all" and args.family not in FAMILIES:
+        raise ConfigError(f"hunt {args.family!r} is not one of all, {', '.join(FAMILIES)}")
+    if not 1 <= args.seeds <= MOST_SEEDS:
+        raise ConfigError(f"--seeds {args.seeds} is not from 1 to {MOST_SEEDS}")
+    failed = 0
+    for family in FAMILIES if args.family == "all" else [args.family]:
+        hunt = search(family, args.seeds, args.first, args.jobs)
+        failed += len(hunt.failed())
+        margins = sorted(play.verdict.margin for play in hunt.plays if play.verdict is not None)
+        print(f"{family}: {len(hunt.plays)} days, {len(hunt.failed())} fail the gate, "
+              f"{len(hunt.seen)} states of faults met; margin least {margins[0]:+.3f}, "
+              f"median {margins[len(margins) // 2]:+.3f}")
+        for play in hunt.worst():
+            if play.verdict is not None and not play.verdict.passed:
+                print(f"    day {play.number} (seed {play.seed}): {'; '.join(play.verdict.reasons)}")
+        if args.keep is not None and hunt.failed():
+            print(f"    kept: {keep(hunt, args.keep)}")
+    return 1 if failed else 0
+
+
 DO: dict[str, Callable[[argparse.Namespace], int]] = {
     "list": _list, "rivals": _rivals, "run": _run, "sweep": _sweep, "compare": _compare, "bisect": _bisect,
-    "replay": _replay, "load": _load}
+    "replay": _replay, "load": _load, "hunt": _hunt}
 
 
 def main(args: argparse.Namespace) -> int:
--- a/minthitch/lab/choke.py
+++ b/minthitch/lab/choke.py
@@ -42,6 +42,11 @@
         elif self.since and (self.used < self.terms.below or now - self.since >= self.most):
             self.since, self.mean = 0, 0.0
 
+    @property
+    def room(self) -> float:
+        """Calls that may run or wait for long: while it is slow, few enough that it rests."""
+        return 1.0 if self.since else self.terms.at - 1.0
+
     @property
     def factor(self) -> float:
         """Of its speed."""
--- a/minthitch/lab/deeds.py
+++ b/minthitch/lab/deeds.py
@@ -8,6 +8,7 @@
 from minthitch.interface import SECOND
 from minthitch.lab.heap import START, Heap
 from minthitch.lab.network import Network
+from minthitch.lab.nodes import LabNode
 from minthitch.lab.scenario import Deed, Scenario, span
 from minthitch.lab.servers import ServerModel
 from minthitch.lab.streams import Stream
@@ -15,6 +16,8 @@
 from minthitch.listing import Listing
 
 LEARNS_LATE = 2  # a death is in the list after so many of discovery's delays
+TERM = 4 * SECOND  # behind its SIGTERM a node's process has ended
+TURN = SECOND // 2  # until the next one is ready
 GONE_BEHIND = 3 * SECOND  # a drained server's process ends so long after its word
 
 
@@ -27,6 +30,7 @@
         self.network, self.stream = network, stream
         self.notices = span(scenario.front.notices)
         self.delay = span(scenario.discovery.delay)
+        self.known: dict[LabNode, Listing] = {}  # nodes that are down with their servers: the list they held
 
     def start(self) -> None:
         """Those who are struck are drawn now, so that one deed's draw does not shift another's."""
@@ -34,7 +38,7 @@
         taken = [self._struck(deed) for deed in self.scenario.deeds]
         for deed in joining:  # they are there from the start, and not up
             for model in taken[self.scenario.deeds.index(deed)]:
-                model.stop()
+                self._stop(self._tier(deed), model)
                 self._tier(deed).discovery.hosts.pop(model.name, None)
         for deed, models in zip(self.scenario.deeds, taken, strict=True):
             self._schedule(deed, models)
@@ -56,7 +60,7 @@
     def _schedule(self, deed: Deed, models: list[ServerModel]) -> None:
         at, last = START + int(deed.at * SECOND), int(deed.last * SECOND)
         whole = {"nodes-die": self._nodes_die, "stale-list": self._stale, "silent-list": self._silent_list,
-                 "partition": self._partition}
+                 "partition": self._partition, "nodes-turn": self._nodes_turn}
         if deed.do in whole:
             self.heap.at(at, lambda: whole[deed.do](deed, last))
             return
@@ -96,8 +100,20 @@
         model.queue.clear()
         model.epoch += 1
 
-    def _crash(self, tier: TierAtWork, model: ServerModel, last: int) -> None:
+    def _below(self, tier: TierAtWork, model: ServerModel) -> LabNode | None:
+        """The node that stands beside the server, if one does."""
+        number = self.tiers.index(tier) + 1
+        beside = number < len(self.tiers) and self.scenario.tiers[number].beside
+        return self.tiers[number].nodes[model.number] if beside else None
+
+    def _stop(self, tier: TierAtWork, model: ServerModel) -> None:
         model.stop()
+        node = self._below(tier, model)
+        if node is not None and node.up:
+            self.known[node] = node.die()
+
+    def _crash(self, tier: TierAtWork, model: ServerModel, last: int) -> None:
+        self._stop(tier, model)
         epoch = model.epoch
 
         def learn() -> None:
@@ -108,13 +124,16 @@
         self._later(last, lambda: self._up(tier, model))
 
     def _drained(self, tier: TierAtWork, model: ServerModel, last: int) -> None:
-        model.stop()
+        self._stop(tier, model)
         tier.discovery.change(model, "removed")
         self._later(last, lambda: self._up(tier, model))
 
     def _up(self, tier: TierAtWork, model: ServerModel) -> None:
         if not model.up:
             model.start()
+            node = self._below(tier, model)
+            if node is not None and not node.up:
+                node.start(self.known.pop(node))
             tier.discovery.change(model, "up")
 
     def fall(self, number: int, model: ServerModel, restart: int) -> None:
@@ -134,6 +153,26 @@
             if last:
                 self.heap.post(last, partial(self._node_back, tier, number, held))
 
+    def _nodes_turn(self, deed: Deed, last: int) -> None:
+        """All nodes are restarted one after another over `spread`, each by SIGTERM: the front leaves it at
+        once, it answers what it has, ends, and comes back with the list that it held."""
+        tier = self._tier(deed)
+        step = int(deed.spread * SECOND) // max(len(tier.nodes), 1)
+        for number in range(len(tier.nodes)):
+            self.heap.post(number * step, partial(self._notice_gone, tier, number))
+            self.heap.post(number * step + TERM, partial(self._turned, tier, number))
+
+    @staticmethod
+    def _notice_gone(tier: TierAtWork, number: int) -> None:
+        if len(tier.front.seen) > 1:  # the last one left is led to until it is gone
+            tier.front.notice(number, False)
+
+    def _turned(self, tier: TierAtWork, number: int) -> None:
+        node = tier.nodes[number]
+        if node.up:
+            held = node.die()
+            self.heap.post(TURN, partial(self._node_back, tier, number, held))
+
     @staticmethod
     def _notice(tier: TierAtWork, number: int) -> None:
         tier.front.notice(number, tier.nodes[number].up)
--- a/minthitch/lab/nodes.py
+++ b/minthitch/lab/nodes.py
@@ -12,7 +12,7 @@
 from minthitch.lab.heap import Heap
 from minthitch.lab.ledger import Ledger
 from minthitch.lab.network import Network
-from minthitch.lab.rivals.base import World
+from minthitch.lab.rivals.base import Sight, World
 from minthitch.lab.servers import ServerModel
 from minthitch.listing import Listing
 
@@ -132,7 +132,15 @@
         """Its attempts may still be out for a while, and are asked for their work."""
         self.heap.post(self.settings.classes[0].deadline * 2, lambda: self.works.pop(identity, None))
 
-    # What rivals that probe ask -----------------------------------------------------------------
+    # What oracles see, and rivals that probe ask ------------------------------------------------
+
+    def see(self, server: int) -> Sight | None:
+        """The server as it is; None where it can't be reached, or says nothing."""
+        known = self.engine.fleet.addresses.get(server)
+        model = self.models[known.name] if known is not None else None
+        if model is None or not model.up or model.silent or self.network.apart(self.zone, model.zone):
+            return None
+        return model.sight()
 
     def probe(self, server: int, heard: Callable[[int], None]) -> None:
         """Requests in flight at the server, a round trip later; nothing from one that is down or silent."""
--- a/minthitch/lab/rivals/base.py
+++ b/minthitch/lab/rivals/base.py
@@ -8,7 +8,7 @@
 
 import random
 from collections.abc import Callable, Sequence
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from minthitch import interface as api
 
@@ -16,9 +16,20 @@
 LIST_TOKEN = 0
 
 
+class Sight(NamedTuple):
+    """A server as it is: what only an oracle sees."""
+
+    held: int  # calls that run or wait for a core
+    speed: float  # of all its cores, with all that slows it
+    room: float  # calls that may run or wait before it turns slow
+    bears: bool  # one more call would not push it over
+
+
 class World(Protocol):
     """What a rival may ask beside its events."""
 
+    def see(self, server: int) -> Sight | None: ...
+
     def probe(self, server: int, heard: Callable[[int], None]) -> None: ...
 
 
--- a/minthitch/lab/run.py
+++ b/minthitch/lab/run.py
@@ -19,6 +19,7 @@
 from minthitch.lab.nodes import LabNode, MakeDecider
 from minthitch.lab.rivals.base import World
 from minthitch.lab.rivals.choosers import RIVALS
+from minthitch.lab.rivals.oracles import ORACLES
 from minthitch.lab.scenario import Scenario, span
 from minthitch.lab.servers import Below, Job, ServerModel
 from minthitch.lab.streams import Streams
@@ -26,7 +27,7 @@
 from minthitch.lab.tiers import TierAtWork
 
 OURS = "minthitch"
-CHOOSERS = (OURS, *RIVALS)
+CHOOSERS = (OURS, *RIVALS, *ORACLES)
 SWEEP = 5 * SECOND  # between two looks for requests that were never answered
 TAIL = 2 * SECOND  # behind the last deadline, for what is still on its way
 LOG_LINES = 200  # of nodes, kept in a run
@@ -36,7 +37,7 @@
     """None for our own: the engine then makes its Balancer."""
     if chooser == OURS:
         return lambda settings, seed, world: None
-    rival = RIVALS[chooser]
+    rival = {**RIVALS, **ORACLES}[chooser]
 
     def make(settings: api.Settings, seed: int, world: World) -> Decider:
         return rival(settings, seed, world)
@@ -107,7 +108,7 @@
             self.deeds.fall(number, model, span(tier.cold.restart))
 
         for i in range(tier.servers):
-            calls = self._below(number, tier.calls, below) if below is not None else None
+            calls = self._below(number, tier.calls, below, i) if below is not None else None
             models.append(ServerModel(self.heap, ledger, tier, i, self.streams(f"server {tier.name} {i}"),
                                       calls, fallen))
         discovery.fill(models)
@@ -121,14 +122,15 @@
         front.nodes, front.seen = made.nodes, list(range(tier.nodes))
         return made
 
-    def _below(self, number: int, calls: int, below: TierAtWork) -> Below:
+    def _below(self, number: int, calls: int, below: TierAtWork, server: int) -> Below:
         """What a server of this tier does for a job: so many calls to the next, one after another."""
+        beside = self.scenario.tiers[number + 1].beside
         tier, works = self.scenario.tiers[number + 1], self.streams(f"work of tier {number + 1}")
         work = span(tier.work)
 
         def ask(job: Job, done: Callable[[Status], None], made: int) -> None:
             left = job.deadline - self.heap.time
-            node = below.front.pick()
+            node = below.nodes[server] if beside else below.front.pick()
             if left <= 0 or node is None or not node.up:
                 done(Status.ERROR)
                 return
--- a/minthitch/lab/scenario.py
+++ b/minthitch/lab/scenario.py
@@ -24,7 +24,7 @@
 MOST_SERVERS, MOST_NODES, MOST_CLIENTS, MOST_SECONDS = 20_000, 2_000, 1_000_000, 86_400
 MOST_TIERS = 8
 DEEDS = ("silence", "crash", "restart", "drain", "slow", "errors", "join", "nodes-die", "stale-list",
-         "silent-list", "partition")
+         "silent-list", "partition", "nodes-turn")
 PATH = re.compile(r" - at `\$(.*?)`")
 UNKNOWN = re.compile(r"unknown field `(.*?)`")
 
@@ -88,6 +88,7 @@
     zones: int = 1
     kinds: tuple[float, ...] = (1.0,)  # speeds, given by turns
     calls: int = 0  # to the next tier, one after another
+    beside: bool = False  # each server of the tier before has a node of its own here; `nodes` is then theirs
     cold: Cold = Cold()
     choke: Choke = Choke()
 
@@ -258,6 +259,9 @@
     _need(len(set(names)) == len(names), "tiers", names, "name one tier twice: a loop would never end")
     for i, tier in enumerate(scenario.tiers):
         _check_tier(tier, f"tiers[{i}]", i + 1 == len(scenario.tiers))
+    for above, tier in zip((None, *scenario.tiers), scenario.tiers, strict=False):
+        _need(not tier.beside or (above is not None and above.calls > 0 and above.servers == tier.nodes),
+              f"tier {tier.name}.nodes", tier.nodes, "is not the number of the servers that call it")
     settings = scenario.settings()
     _check_load(scenario.load, [spec.name for spec in settings.classes])
     network = scenario.network
