--- a/minthitch/cli/lab.py
+++ b/minthitch/cli/lab.py
@@ -93,13 +93,17 @@
             f"{broken} breaches  [{row['digest'][:8]}]")
 
 
+def _check_seeds(args: argparse.Namespace) -> None:
+    if not 1 <= args.seeds <= MOST_SEEDS:
+        raise ConfigError(f"--seeds {args.seeds} is not from 1 to {MOST_SEEDS}")
+
+
 def _works(args: argparse.Namespace, changes: Sequence[tuple[str, ...]], chooser: str,
            scenario: str = "") -> list[Any]:
     from minthitch.lab.experiment import Work
     from minthitch.lab.run import CHOOSERS
 
-    if not 1 <= args.seeds <= MOST_SEEDS:
-        raise ConfigError(f"--seeds {args.seeds} is not from 1 to {MOST_SEEDS}")
+    _check_seeds(args)
     if chooser not in CHOOSERS:
         raise ConfigError(f"--chooser {chooser!r} is not one of {', '.join(CHOOSERS)}")
     return [Work(scenario or args.scenario, row, chooser, seed)
@@ -221,8 +225,7 @@
 
     if args.family != "all" and args.family not in FAMILIES:
         raise ConfigError(f"hunt {args.family!r} is not one of all, {', '.join(FAMILIES)}")
-    if not 1 <= args.seeds <= MOST_SEEDS:
-        raise ConfigError(f"--seeds {args.seeds} is not from 1 to {MOST_SEEDS}")
+    _check_seeds(args)
     failed = 0
     for family in FAMILIES if args.family == "all" else [args.family]:
         hunt = search(family, args.seeds, args.first, args.jobs)
--- a/minthitch/lab/hunt.py
+++ b/minthitch/lab/hunt.py
@@ -18,7 +18,8 @@
 PLAIN_PART = 0.6  # of the plays that are plain draws; the others go on from the worst ones
 ROUND = 8  # plays drawn at a time from the worst ones
 KEPT = 8  # worst days that are mutated
-CHANGED = 3  # genes that a mutation draws anew
+TRIES = 8  # mutations drawn for one that meets a niche not played before
+CHANGED = 3  # genes that a mutation moves
 STEP = 0.25  # the most by which it moves one
 BUCKETS = 4  # parts of a gene's range that coverage tells apart
 FAULT_GENES = ("load", "when", "last", "choke", "cold")  # the fault, and the state that it meets
@@ -101,8 +102,7 @@
 
     def _mutant(self, number: int, parent: Play, stream: random.Random) -> Play:
         """Of some tries one whose niche was not played, else the last."""
-        genes = dict(parent.genes)
-        for _ in range(KEPT):
+        for _ in range(TRIES):
             genes = dict(parent.genes)
             for name in stream.sample(GENES, CHANGED):
                 moved = genes[name] + stream.uniform(-STEP, STEP)
--- a/tests/test_lab_hunt.py
+++ b/tests/test_lab_hunt.py
@@ -7,14 +7,13 @@
 
 import pytest
 
-from minthitch import interface as api
+from bench.hunt import Deaf, maker
 from minthitch.interface import SECOND, Status
 from minthitch.lab import scenario
 from minthitch.lab.drawn import FAMILIES, GENES, day, plain
 from minthitch.lab.heap import START
 from minthitch.lab.hunt import SLACK, Hunt, Verdict, judge, shrink
 from minthitch.lab.ledger import RULES
-from minthitch.lab.rivals.base import World
 from minthitch.lab.run import Run
 from minthitch.lab.trial import verdict
 from minthitch.policy import Balancer
@@ -117,10 +116,6 @@
         return server.open < server.links if now < self.shy else super()._connects(now, server, scarce)
 
 
-def shy(settings: api.Settings, seed: int, world: World) -> Balancer:
-    return Shy(settings, seed)
-
-
 def back(run: Run, first: int, last: int) -> float:
     """The part of the worth wanted in these seconds that was served in time."""
     rows = run.tally.each_second[first:last]
@@ -135,7 +130,8 @@
                                        "tiers.2.servers=19"))
     ours, oracle = Run(made, seed).play(), Run(made, seed, "oracle").play()
     assert back(ours, 18, 23) >= 0.9 * back(oracle, 18, 23)
-    assert returned(Run(made, seed, make=shy)) < 0.6 * returned(Run(made, seed)), "without the mend it is not"
+    without = returned(Run(made, seed, make=maker(Shy)))
+    assert without < 0.6 * returned(Run(made, seed)), "without the mend it is not"
 
 
 def returned(run: Run) -> int:
@@ -149,14 +145,7 @@
 
 
 def test_a_planted_fault_fails_the_gate() -> None:
-    class Deaf(Balancer):
-        """Sends on to what drains, and to what is gone."""
-
-        def _listed(self, now: int, event: api.ListUpdate) -> None:
-            ready = tuple(e for e in event.entries if e.state is api.State.READY)
-            super()._listed(now, api.ListUpdate(api.ListKind.CHANGES, ready))
-
-    found = verdict(day("join", plain("join", 1)), 1, lambda settings, seed, world: Deaf(settings, seed))
+    found = verdict(day("join", plain("join", 1)), 1, maker(Deaf))
     assert not found.passed
 
 
