A cold fleet holds a queue by worth and answers' rate; first credits spread over a node's servers

Ruled out as levers: a cap on calls out in all (2.5 and 1.75 a server), on calls a server, and fewer servers looked at (1, 2, 5): no effect on servers pushed over; what an answer earns times 0.9 or 0.8: nothing is served any more.

HELD_PART is gone. Whether any server is warm is one comparison.

--- a/bench/hunt.py
+++ b/bench/hunt.py
@@ -47,9 +47,9 @@
 class Twice(Balancer):
     """Sends what may have run again, whatever its class."""
 
-    def _place(self, now: int, request: Request) -> None:
+    def _place(self, now: int, request: Request, timed: bool = False) -> None:
         request.spec = replace(request.spec, effect=api.Effect.SAFE)
-        super()._place(now, request)
+        super()._place(now, request, timed)
 
 
 class Astray(Balancer):
--- a/minthitch/policy.py
+++ b/minthitch/policy.py
@@ -37,9 +37,10 @@
 LOAD_KEEPS = 10.0  # answers at least that the common load is judged by, up to HALF_LIFE: many nodes have few
 CROSSING = 1.5  # price of a server in another zone, as a multiple, where crossings are charged for
 COLD_PART = 0.5  # part of a cold server's budget that is used: one node's guess at warm rates is rough
+KEPT_PART = 0.4  # the same where none is warm, and what warm ones answer is told from before or by others
 COLD_EARNS = 1.5  # calls that a cold server's answer in the usual time earns it: half of the usual multiple
 COLD_MOST = 0.4  # part of its budget, by what warm ones answer, up to which its own answers earn it calls
-COLD_FIRST = 0.2  # part of a cold server's budget that time gives where no warm server tells what one can do
+COLD_FIRST = 0.17  # part of a cold server's budget that time gives where no warm server tells what one can do
 COLD_HOLDS = 0.75  # the same over that: what it has shown it can do fades by and by, and is not cut off
 COLD_KEEPS = 2.0  # calls that a cold server may have in hand at one node; over one, they fade in its window
 FIRST_CALLS = 2.5  # calls out a server, over all nodes, that any bears: so many before answers tell more,
@@ -57,7 +58,7 @@
 OVERDUE = 3.0  # a call still out after this multiple of what it should take is raced by one more copy
 AVOIDED_SHARE = 0.5  # share of calls answered within the reference time below which a server is shown as down
 SHUT = LOAD_HALF_LIFE  # so long a server that refused a connection is not asked for another; then twice that
-HELD_PART = 0.25  # of a call that is out, for one that is held: it may wait for several times one's time
+WAIT_PART = 0.25  # of its aim that a request may wait where all servers are cold, by what went out lately
 HOLD = api.SECOND // 10  # a request that no server may take now is tried again after this
 BACK_PART = 0.04, 0.12  # a refused client comes back after this part of its aim: it may still be in time
 ASK_PART = 0.25  # list calls are repeated within this part of the time after which the node counts as told
@@ -206,6 +207,9 @@
         return (spec.zones is None or self.entry.zone in spec.zones) and (
             spec.kinds is None or self.entry.kind in spec.kinds)
 
+    def warm_from(self, settings: api.Settings) -> int:
+        return self.entry.started and self.entry.started + settings.cold_time
+
     def warmth(self, now: int, settings: api.Settings) -> float:
         """The share of its work that it can do at least; 1 when warm."""
         if not self.entry.started or (age := now - self.entry.started) >= settings.cold_time:
@@ -285,7 +289,9 @@
         self.calm, self.calm_at = math.inf, 0  # the lowest load lately, and when it was judged
         self.shares = [(0.0, 0)] * len(settings.tenants)  # requests in a tenant's share; when counted
         self.out, self.busy = 0, 0.0  # attempts that are out, and requests held; on average over arrivals
-        self.held = 0  # requests that wait until a server may take them
+        # Those that wait until a server may take them, by class, as they came.
+        self.held: list[dict[int, Request]] = [{} for _ in settings.classes]
+        self.warm_from: float = math.inf  # when the first listed server is warm; before, all are cold
         self.crowd = self.grown = 0.0  # how crowded it is; how many may be out beyond the first few
         self.room, self.lost = 0.0, -HALF_LIFE  # servers by their warmth, as last counted; when it last fell
         self.arrivals, self.pace = 0, 1.0  # requests so far; weight of the next one in averages
@@ -349,11 +355,15 @@
                 new.append(self.servers[entry.server])
             else:
                 known.entry = entry
-        if new and not self._warm_count(now):
-            # Guards against seconds in the dark: of all nodes' first calls a half goes out at once.
-            for server in new:
+        self.warm_from = min((s.warm_from(self.settings) for s in self.servers.values()), default=math.inf)
+        if new and now < self.warm_from:
+            # Guards against seconds in the dark: of all nodes' first calls a half goes out at once, and the
+            # others evenly over time, at each node and at each server.
+            places = self.random.sample(range(len(new)), len(new))
+            for server, place in zip(new, places, strict=True):
                 part = self._least(now, server.warmth(now, self.settings))
-                server.credit += min(part * self.settings.cold_window, COLD_PART / self.settings.siblings)
+                at_once = min(part * self.settings.cold_window, COLD_PART / self.settings.siblings)
+                server.credit = (place + server.credit) / len(new) + at_once
         self.refusers = {s for s in self.refusers if self.servers.get(s.entry.server) is s}
 
     def _arrived(self, now: int, event: api.RequestArrived) -> None:
@@ -364,6 +374,7 @@
             self._settle(request)
         else:
             self.actions.append(api.SetTimer(request.id << 1 | 1, self._due(request) - now))
+            self._place_held(now, request.cls)
             self._place(now, request)
 
     def _due(self, request: Request) -> int:
@@ -403,12 +414,11 @@
         # Guards against crowding servers before answers tell; of many nodes each holds its part on average.
         window, self.arrivals = FIRST_CALLS * part + self.grown, self.arrivals + 1
         self.pace = min(1.0, max(window / STEADY, 1.0 / self.arrivals))
-        # Guards against holding more than cold servers take in time: the least worthy are told so at once.
-        # With warm ones there, what is held waits for its own zone, kind or cell, and crowds nobody else's.
-        held = HELD_PART * self.held if self.held and not self._warm_count(now) else 0.0
-        self.busy += (self.out + held - self.busy) * self.pace
+        self.busy += (self.out - self.busy) * self.pace
         crowd = max(CROWD_LEAST * (self.busy / window) ** 2, self.strain)
         crowd = self.crowd = self.crowd + (min(crowd, CROWD_MOST + 1.0) - self.crowd) * self.pace
+        if now < self.warm_from:
+            return self._admits_cold(now, event.cls, worth)
         works = [1.0 if self.settings.worth_by_work else self._base(now, i) for i in range(len(self.classes))]
         most = max(spec.worth / work for spec, work in zip(self.settings.classes, works, strict=True))
         limit = CROWD_LEAST + (CROWD_MOST - CROWD_LEAST) * worth / works[event.cls] / most
@@ -417,6 +427,36 @@
             self._say(now, f"refusing: load {load / self.calm:.1f} times the calm one, {self.out} calls out")
         return not refused
 
+    def _admits_cold(self, now: int, cls: int, worth: float) -> bool:
+        """Whether a fleet that is cold as a whole can take a request of this worth in time for its aim.
+
+        Credit holds what cold servers bear, and the worthiest held goes first: so a request waits for those
+        that are worth as much, at the rate of what is answered. Guards against holding what is given up in
+        the end, and against all that was held going out in one instant once the servers are warm.
+        """
+        values = self._values(now)
+        value = values[cls] * worth / self.settings.classes[cls].worth if worth else 0.0
+        ahead = sum(len(held) for held, each in zip(self.held, values, strict=True) if each >= value)
+        rate = self.flow.ends * self.flow.fade(now) * math.log(2) / LOAD_HALF_LIFE
+        first = FIRST_CALLS * max(len(self.servers), 1) / self.settings.siblings
+        if refused := ahead >= max(first, WAIT_PART * self.settings.classes[cls].aim * rate):
+            self._say(now, f"refusing: no server is warm, {ahead} requests wait, {self.out} calls out")
+        return not refused
+
+    def _place_held(self, now: int, cls: int = -1) -> None:
+        """Where all servers are cold, requests held that are worth more than this class's go first."""
+        if now >= self.warm_from or not any(self.held):
+            return
+        values = self._values(now)
+        while any(self.held):
+            best = max(range(len(values)), key=lambda i: values[i] if self.held[i] else -1.0)
+            if cls >= 0 and values[best] <= values[cls]:
+                return
+            first = next(iter(self.held[best].values()))
+            self._place(now, first, timed=True)
+            if first.held:
+                return
+
     def _room(self, now: int) -> float:
         """The servers, cold ones by what they can do; what may be out beyond the first calls goes with it.
 
@@ -447,12 +487,14 @@
             if now >= self._due(request):
                 self._settle(request)
             elif now >= request.late or all(a.status is not None for a in request.attempts):
+                self._place_held(now, request.cls)
                 self._place(now, request)
 
-    def _place(self, now: int, request: Request) -> None:
+    def _place(self, now: int, request: Request, timed: bool = False) -> None:
         """Send to the cheapest set of servers that the request's class allows; hold if there is none.
 
-        While calls of it are out, this is one more copy, raced with those that are overdue.
+        While calls of it are out, this is one more copy, raced with those that are overdue. `timed`: it is
+        held, and its timer is set.
         """
         spec, tried, anchor, allow = request.spec, request.attempts, request.anchor, self.settings
         room = allow.max_attempts - len(tried) if now < self._due(request) else 0
@@ -480,8 +522,8 @@
         if not pool and not anchor and now + HOLD >= request.half:
             return self._settle(request)  # guards against clients that wait for nothing: they may ask again
         if not pool:
-            self._hold(request, True)
-            return self.actions.append(api.SetTimer(request.id << 1 | 1, HOLD))
+            self.held[request.cls][request.id], request.held = request, True
+            return None if timed else self.actions.append(api.SetTimer(request.id << 1 | 1, HOLD))
         left = (request.deadline - now) / (base * load)
         candidates = [self._candidate(now, left, s) for s in pool]
         chosen = cheapest_set(candidates, TARGET, most)
@@ -498,10 +540,6 @@
                 self.actions.append(api.SetTimer(request.id << 1 | 1, patience))
         return None
 
-    def _hold(self, request: Request, held: bool) -> None:
-        self.held += held - request.held
-        request.held = held
-
     def _connects(self, now: int, server: Server, scarce: bool) -> bool:
         """Whether a connection to it is open and idle, or a new one may be counted on.
 
@@ -513,6 +551,23 @@
         fresh = not scarce or server.refused or server.warmth(now, self.settings) < 1.0
         return bool(fresh) and now >= server.shut
 
+    def _values(self, now: int) -> list[float]:
+        """The classes' worths, by what a call takes from servers where the settings leave that out.
+
+        Guards against a class that is refused by its aim alone, as its calls were never seen: until they are,
+        they take what others do.
+        """
+        specs = self.settings.classes
+        if self.settings.worth_by_work:
+            return [spec.worth for spec in specs]
+        fades = [c.fade(now) for c in self.classes]
+        time = sum(c.time * f * spec.aim for c, f, spec in zip(self.classes, fades, specs, strict=True))
+        first = FIRST_MEAN * sum(spec.aim for spec in specs) / len(specs)
+        ends = sum(c.ends * f for c, f in zip(self.classes, fades, strict=True))
+        usual = (time + PRIOR * first) / (ends + PRIOR)
+        return [spec.worth / (max(c.mean(now, usual / spec.aim), 1e-3) * spec.aim)
+                for c, spec in zip(self.classes, specs, strict=True)]
+
     def _base(self, now: int, cls: int) -> float:
         """What a call of this class usually takes, in nanoseconds."""
         return max(self.classes[cls].mean(now, FIRST_MEAN), 1e-3) * self.settings.classes[cls].aim
@@ -563,7 +618,7 @@
             self.spare -= 1.0
             self.budget.note(now, self.budget.sent)
         attempt = Attempt(server, now, base, base * load)
-        self._hold(request, False)
+        self._release(request)
         request.attempts.append(attempt)
         self._track(attempt, 1)
         if server.warmth(now, self.settings) < 1.0:
@@ -586,8 +641,9 @@
             (self.most_at - now) / CLASS_HALF_LIFE))
         self.most, self.most_at = each, now
         least = self._least(now, min(warmth for _, warmth in cold)) if cold else 0.0
+        used = COLD_PART if now >= self.warm_from else KEPT_PART
         for s, warmth in cold:
-            part = max(min(1.0, COLD_PART * self.settings.cold_multiple * warmth) * each, least)
+            part = max(min(1.0, used * self.settings.cold_multiple * warmth) * each, least)
             since, s.credit_at = now - s.credit_at, now
             if s.credit > 1.0:  # guards against calls earned by all nodes at a time and sent at another
                 s.credit = 1.0 + (s.credit - 1.0) * math.exp2(-since / self.settings.cold_window)
@@ -708,6 +764,12 @@
             self._close(request)
         elif not request.streaming and all(a.status is not None for a in request.attempts):
             self._place(now, request)
+        self._place_held(now)  # what this answer earned a cold server goes to the worthiest
+
+    def _release(self, request: Request) -> None:
+        if request.held:
+            del self.held[request.cls][request.id]
+            request.held = False
 
     def _cancel_others(self, request: Request, winner: int) -> None:
         for index, attempt in enumerate(request.attempts):
@@ -728,6 +790,6 @@
     def _close(self, request: Request) -> None:
         """Nothing more is sent; it is kept only until its last attempt has ended."""
         request.closed = True
-        self._hold(request, False)
+        self._release(request)
         if all(a.status is not None for a in request.attempts):
             del self.requests[request.id]
