Recovery in phases with a page that plots it; hard cases on processes; all short courses searched

Change: recovery/phases.py (dark, has a list, first calls, by worth, whole; conditions and most times; pure), seconds.py (a line a second, bounded) and plot.py; `minthitch recovery plot`; status and explain name the phase. `ready_within`: a node beside a server is ready once the tier below takes a connection; off. The operator file has no tier, so it is a key and not told by the tier. rigs/cluster: clients that are refused come back, by Retry-After or at once, a want counted over its calls; search.py plays every course of crashes, losses and splits of three nodes and two servers on the decisions.

--- a/bench/powerloss.py
+++ b/bench/powerloss.py
@@ -11,16 +11,19 @@
 import asyncio
 import sys
 from collections.abc import Sequence
+from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass, replace
 
 import uvloop
 
+from minthitch.policy import Balancer, Server
 from rigs.cluster.checks import breaches
 from rigs.cluster.cluster import Cluster
-from rigs.cluster.history import Event
+from rigs.cluster.history import Event, want_of
 from rigs.cluster.play import play
 from rigs.cluster.powerloss import AIMS, DEADLINES, MAKE, TABLE, UNSAFE_CLASSES, WANTS, WARM_RATE, WORTHS
 from rigs.cluster.schedule import Fault
+from rigs.cluster.search import ACTS, Make, search
 
 NODES, SERVERS = 6, 12
 LOST_AT, AWAY = 1.5, 1.0  # seconds
@@ -45,6 +48,8 @@
     faults: tuple[Fault, ...] = (POWER,)
     judged: bool = True  # by the shares too, not by the rules alone
     counts_from: int = SETTLED
+    returns: int = 0  # of each that is refused
+    heedless: float = 0.0  # of these, the part that comes back at once
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,14 +78,15 @@
           most: bool = False) -> float:
     """Of what was asked for in these seconds after `since`, what was served in its aim. With `most`, where
     servers that started at `since` can do less than that, of what they can do."""
-    asked = {e.call: e for e in history if e.what == "asked" and cls in ("", e.cls)}
+    asked = {e.call: e for e in history if e.what == "asked" and e.call == want_of(e.call)
+             and cls in ("", e.cls)}
     wanted, got = [0.0] * len(seconds), [0.0] * len(seconds)
     for event in history:
-        want = asked.get(event.call)
+        want = asked.get(want_of(event.call))
         place = int(want.at - since) - seconds.start if want is not None and want.at >= since else -1
         if want is None or not 0 <= place < len(seconds):
             continue
-        if event.what == "asked":
+        if event is want:
             wanted[place] += 1
         elif event.what == "heard" and event.word == "served" and event.at - want.at <= AIMS[want.cls]:
             got[place] += 1
@@ -100,7 +106,8 @@
     async with Cluster(NODES, SERVERS, table, MAKE, command, trial.keeps, trial.talks) as cluster:
         cluster.forgetful = range(trial.forgetful)
         await cluster.all_ready()
-        history = await play(cluster, WANTS, rate, seconds, trial.faults, trial.seed)
+        history = await play(cluster, WANTS, rate, seconds, trial.faults, trial.seed, trial.returns,
+                             trial.heedless)
     back = max(e.at for e in history if e.what == "back" and e.word == "killed")
     warm = int(MAKE.cold_time)
     best = max(WORTHS, key=lambda name: WORTHS[name])
@@ -132,6 +139,8 @@
     made.append(Trial("two nodes cut off from half of the servers for 4 s", 0.7, 7, judged=False, faults=(
         POWER, *(Fault(LOST_AT + AWAY + 1.0, "cut", node, server, last=4.0)
                  for node in (0, 1) for server in range(6)))))
+    made += [Trial(f"refused ones come back, {heedless:.0%} at once", 0.7, 8, returns=8, heedless=heedless,
+                   judged=heedless < 1.0) for heedless in (0.0, 0.1, 0.3, 1.0)]
     parts += [Trial("0.7 of the load, without first calls", 0.7, 1, "first calls", judged=False)]
     parts += [
         Trial(f"{load} of the load, without snapshots, seed {seed}", load, seed, keeps=False, judged=False)
@@ -155,15 +164,55 @@
     return await asyncio.gather(*(one(trial) for trial in trials(quick)))
 
 
+class Dark(Balancer):
+    """Cold servers get what warm ones tell, and no more."""
+
+    def _least(self, now: int, warmth: float) -> float:
+        return 0.0
+
+
+class Eager(Balancer):
+    """A cold server is sent what comes."""
+
+    def _pool(self, now: int) -> list[Server]:
+        super()._pool(now)
+        return list(self.servers.values())
+
+
+MAKES: tuple[Make, ...] = (Balancer, Dark, Eager)
+DEPTH = 4, 3  # steps of a course: in full, and for --quick
+
+
+def _searched(number: int, depth: int, first: str) -> list[str]:
+    return [broken for _, broken in search(MAKES[number], depth, first=(first,)) if broken]
+
+
+def searched(depth: int) -> list[str]:
+    """What is short of the search of all courses of so many steps; prints its counts."""
+    short = []
+    with ProcessPoolExecutor() as pool:
+        for number, make in enumerate(MAKES):
+            steps = depth if make is Balancer else 2
+            found = [broken for part in pool.map(_searched, [number] * len(ACTS), [steps] * len(ACTS), ACTS)
+                     for broken in part]
+            name = "the decisions" if make is Balancer else f"planted: {make.__name__}"
+            print(f"{len(found):6d} of {len(ACTS) ** steps} courses of {steps} steps broken by {name}")
+            if bool(found) != (make is not Balancer):
+                short.append(f"search: {name}: {found[0] if found else 'nothing seen'}")
+    return short
+
+
 def main() -> int:
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--quick", action="store_true", help="50 s in place of 5 minutes")
-    found = uvloop.run(run(parser.parse_args().quick))
+    quick = parser.parse_args().quick
+    short = searched(DEPTH[quick])
+    found = uvloop.run(run(quick))
     print("served in its aim: at first, cold, worthiest, warm; servers pushed over; rules broken")
     for row in found:
         print(f"{row.first:6.2f} {row.carried:6.2f} {row.worthiest:6.2f} {row.whole:6.2f} {row.pushed:3d} "
               f"{len(row.broken):3d}  {row.trial.name}")
-    short = [f"{row.trial.name}: {row.short()}" for row in found if not row.trial.without and row.short()]
+    short += [f"{row.trial.name}: {row.short()}" for row in found if not row.trial.without and row.short()]
     full = next(row for row in found if row.trial.judged and row.trial.load == 0.7)
     dark = next(row for row in found if row.trial == DARK)
     if dark.carried > full.carried / 2:
--- a/minthitch/cli/recovery.py
+++ b/minthitch/cli/recovery.py
@@ -4,6 +4,7 @@
 
 import argparse
 import http.client
+import itertools
 import json
 import os
 import time
@@ -25,6 +26,10 @@
                        ("explain", "what a node trusted at its start, what not, and why")):
         asked = words.add_parser(word, help=what)
         asked.add_argument("address", metavar="ADDRESS:PORT", help="the node's operators' listener")
+    plot = words.add_parser("plot", help="a page of a recovery, from the nodes' logs")
+    plot.add_argument("logs", type=Path, nargs="+", metavar="LOG")
+    plot.add_argument("--out", type=Path, required=True, metavar="PAGE")
+    plot.add_argument("--by-start", action="store_true", help="the nodes' starts together, not their clocks")
     inspect = words.add_parser("inspect", help="judge a snapshot's file: exit code 0, or 2 with the fault")
     inspect.add_argument("file", type=Path)
     inspect.add_argument("--json", action="store_true", help="all that is in it")
@@ -39,17 +44,21 @@
         return _inspect(args.file, args.json)
     if args.word == "forget":
         return _forget(args.folder, args.node)
+    if args.word == "plot":
+        return _plot(args.logs, args.out, args.by_start)
     page = _ask(args.address)
     if args.word == "status":
         ago = page["written_s_ago"]
         last = "none written yet" if ago is None else f"{ago:.1f} s ago"
         failing = f", {page['failures']} writes failed" if page["failures"] else ""
         up = f"up {page['up_s']:.0f} s, generation {page['generation']}"
-        print(f"{page['node']}: {up}, last {last}{failing}")
+        phase = f"{page['phase']} for {page['phase_s']:.1f} s"
+        print(f"{page['node']}: {phase}, {up}, last {last}{failing}")
         return 0
     age = page["age_s"]
     print(f"{page['node']} of {page['cluster']}: " + (
         "nothing was taken" if age is None else f"a snapshot {age:.1f} s old at its start"))
+    print(f"  {page['phase']} for {page['phase_s']:.1f} s: {page['phase_why']}")
     for verdict in page["verdicts"]:
         print(f"  {verdict['part']}: {'taken' if verdict['taken'] else 'not taken'}: {verdict['why']}")
     for line in page["said"]:
@@ -73,6 +82,22 @@
     return page
 
 
+def _plot(logs: list[Path], out: Path, by_start: bool) -> int:
+    from minthitch.recovery.plot import page
+    from minthitch.recovery.seconds import read
+
+    try:
+        found = read(itertools.chain.from_iterable(
+            path.read_text(errors="replace").splitlines() for path in logs))
+        if not found:
+            raise ConfigError(f"recovery plot {os.fspath(logs[0])!r}: no node's log tells of a recovery")
+        out.write_text(page(found, by_start))
+    except OSError as err:
+        raise ConfigError(f"recovery plot: {err}") from None
+    print(f"{out}: {len(found)} nodes, {sum(map(len, found.values()))} seconds")
+    return 0
+
+
 def _inspect(path: Path, whole: bool) -> int:
     from minthitch.recovery.frame import MOST_BODY, FrameError, decode
 
--- a/minthitch/config.py
+++ b/minthitch/config.py
@@ -49,6 +49,7 @@
     lists_for: int = 0  # how long a kept list is; 0: within the grace only
     peers: tuple[tuple[str, int], ...] = ()  # other nodes' operators' listeners
     ask_within: int = 500 * api.MILLISECOND  # for their answers
+    ready_within: int = 0  # how long `/ready` waits for a server that takes connections; 0: it does not
 
 
 @dataclass(frozen=True, slots=True)
--- a/minthitch/net/node.py
+++ b/minthitch/net/node.py
@@ -6,7 +6,7 @@
 import os
 import socket
 import sys
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 from minthitch import interface as api
 from minthitch.config import Config
@@ -58,6 +58,7 @@
             self.discovery = Discovery(config.discovery, self.engine, config.seed ^ 1)
         self.engine.source = self.discovery or StaticSource(config.known, self.engine.listed)
         self.listening = False
+        self.servable: Callable[[], bool] = lambda: True  # what else has to hold before it is ready
         self.listener: asyncio.Server | None = None
         self.finished = asyncio.Event()
 
@@ -187,7 +188,7 @@
     # What callers' connections need -------------------------------------------------------------
 
     def ready(self) -> bool:
-        return self.listening and self.engine.have_list and self.door.open
+        return self.listening and self.engine.have_list and self.door.open and self.servable()
 
     def pause(self) -> int:
         """When one that found no room may come back, in ns."""
--- a/minthitch/operatorfile.py
+++ b/minthitch/operatorfile.py
@@ -26,7 +26,8 @@
                       "rules", "record", "operators", "recovery"))
 RECORD_KEYS = frozenset(("store", "identity", "required", "best_effort", "intent_within", "answer_within",
                          "lease", "keep_answer", "keep_for", "keep_most"))
-RECOVERY_KEYS = frozenset(("folder", "cluster", "every", "keep_for", "lists_for", "peers", "ask_within"))
+RECOVERY_KEYS = frozenset(("folder", "cluster", "every", "keep_for", "lists_for", "peers", "ask_within",
+                           "ready_within"))
 MOST_PEERS = 1_000  # addresses of other nodes
 LEAST_EVERY = 100 * api.MILLISECOND  # between two snapshots: each is fsynced
 OPERATOR_KEYS = frozenset(("listen", "calls", "handover"))
@@ -41,7 +42,8 @@
     "answer_slack": 20 * api.MILLISECOND, "drain_grace": 500 * api.MILLISECOND}
 TIMES = frozenset(("aim", "deadline", "window", "max_retry_after", "connect_timeout", "idle_close",
                    "drain_grace", "answer_slack", "cold_time", "cold_window", "budget_window",
-                   "intent_within", "answer_within", "lease", "keep_for", "every", "lists_for", "ask_within"))
+                   "intent_within", "answer_within", "lease", "keep_for", "every", "lists_for", "ask_within",
+                   "ready_within"))
 FLAGS = frozenset(("retry_after", "may_duplicate"))
 WHOLE = frozenset(("max_open", "max_attempts", "siblings", "keep_answer", "keep_most"))
 FIELD_NAME = re.compile(r"[A-Za-z0-9-]{1,64}")
--- a/minthitch/program.py
+++ b/minthitch/program.py
@@ -59,6 +59,7 @@
         except ImportError as err:
             raise ConfigError(f"recovery needs the extra `recovery`: {err}") from None
         recovery = Recovery(node.engine, config.recovery, config.name, node.log, node.list_heard)
+        node.servable = recovery.ready
     listener = None
     if config.operators is not None:
         from minthitch.operators.listener import Page, open_listener
--- a/minthitch/recovery/attach.py
+++ b/minthitch/recovery/attach.py
@@ -22,12 +22,16 @@
 from minthitch.recovery.hearsay import LIVE_FOR, MOST_ASKED, Heard, Word, believe
 from minthitch.recovery.learned import class_times, kind_times, rate, recollect
 from minthitch.recovery.model import MOST_ROWS, HostRow, Snapshot, cold_digest
+from minthitch.recovery.phases import Phase, Phases, Seen
+from minthitch.recovery.seconds import Seconds
 from minthitch.recovery.store import Store, youngest
 from minthitch.recovery.trust import Now, Terms, Trusted, Verdict, judge
 
 BOOT_ID = Path("/proc/sys/kernel/random/boot_id")
 MOST_LINES = 20  # of what was said, kept for `explain`
 LOOK = 0.2  # seconds between two looks at the clock
+MOST_REACHED = 3  # servers that are tried at each look while none has taken a connection
+REACH_WITHIN = 0.15  # seconds for it
 ASK_FIRST = SECOND // 2  # between the first two times that peers are asked
 ASKS_FOR = 30 * SECOND  # after the start
 LEAST_ENDS = 5.0  # answers of warm servers from which on what was learned here is said
@@ -60,6 +64,8 @@
         self.started, self.lines = engine.clock.now(), list[str]()
         generation = self._read()
         self.cycle = Cycle(config.every, generation, self.started)
+        self.phases, self.reached = Phases(self.started), False
+        self.seconds = Seconds([spec.name for spec in engine.settings.classes], self.started)
         self.heard_of: Heard | None = None  # what peers' words came to, and until when it is news
         self.news_until = 0
         self.next_ask = self.started
@@ -112,11 +118,57 @@
         while not self.ending.is_set():
             with suppress(TimeoutError):
                 await asyncio.wait_for(self.ending.wait(), LOOK)
+            self._look_at_phase(self.engine.clock.now())
             self._look_at_peers(self.engine.clock.now())
-            action = self.cycle.tick(self.engine.clock.now())
+            if not self.ready() and self.phases.phase is Phase.LISTED:
+                await self._reach()
+            action = self.cycle.tick(self.engine.clock.now()) if self._keeps() else None
             if action is not None:
                 await self._write(action)
 
+    # Phases -------------------------------------------------------------------------------------
+
+    def _look_at_phase(self, now: int) -> None:
+        engine, counts = self.engine, self.engine.counts
+        if not isinstance(engine.balancer, Balancer):
+            return
+        servers = engine.balancer.servers.values()
+        warm = sum(server.warmth(now, engine.balancer.settings) >= 1.0 for server in servers)
+        step = self.phases.look(Seen(now, len(servers), warm, counts.sends, sum(counts.served),
+                                     sum(counts.refused), self.reached))
+        if step is not None:
+            self.log(f"recovery: {step.phase}: {step.why}")
+            if step.phase is Phase.LISTED:
+                self.seconds.again()
+        rows = list(zip(counts.served, counts.refused, counts.failed, strict=True))
+        text = self.seconds.look(now, engine.clock.wall(), self.phases.phase, rows)
+        if text is not None:
+            self.log(text)
+
+    def _keeps(self) -> bool:
+        """Danger: power lost within a recovery; two snapshots of nothing would be all that is left."""
+        return self.phases.learns or not (self.trusted.rate or self.trusted.classes)
+
+    async def _reach(self) -> None:
+        """Whether a server of the tier below takes connections: nobody may send here before."""
+        servers = list(self.engine.fleet.servers.values())
+        chosen = self.engine.random.sample(servers, min(len(servers), MOST_REACHED))
+
+        async def one(host: str, port: int) -> None:
+            _, writer = await asyncio.wait_for(asyncio.open_connection(host, port), REACH_WITHIN)
+            self.reached = True
+            writer.close()
+
+        await asyncio.gather(*(one(s.host, s.port) for s in chosen), return_exceptions=True)
+
+    def _servable(self) -> bool:
+        return self.phases.servable(self.engine.clock.now(), self.config.ready_within)
+
+    def ready(self) -> bool:
+        """Whether callers may be sent here. Beside a server, which the tier above takes for ready by this
+        node's word, once the tier below is reached."""
+        return not self.config.ready_within or self._servable()
+
     # Peers --------------------------------------------------------------------------------------
 
     def _look_at_peers(self, now: int) -> None:
@@ -196,6 +248,8 @@
         written = self.cycle.written_at
         return 200, {
             "node": self.node, "cluster": self.config.cluster, "up_s": (now - self.started) / SECOND,
+            "phase": self.phases.phase, "phase_why": self.phases.why,
+            "phase_s": (now - self.phases.since) / SECOND,
             "age_s": None if self.trusted.age is None else self.trusted.age / SECOND,
             "verdicts": [{"part": v.part, "taken": v.taken, "why": v.why} for v in (
                 *self.trusted.verdicts, *(self.heard_of.verdicts if self.heard_of else ()))],
@@ -210,7 +264,7 @@
         try:
             async with asyncio.timeout(CLOSE_WITHIN):
                 await self.task
-                action = self.cycle.end()
+                action = self.cycle.end() if self._keeps() else None
                 if action is not None:
                     await self._write(action)
         except TimeoutError:
--- a/rigs/cluster/checks.py
+++ b/rigs/cluster/checks.py
@@ -6,7 +6,7 @@
 from collections import Counter, defaultdict
 from collections.abc import Iterable, Mapping, Sequence
 
-from rigs.cluster.history import Event
+from rigs.cluster.history import Event, want_of
 
 ANSWERS = frozenset(("served", "refused", "failed"))
 SLACK = 0.5  # seconds that a busy machine may add to an answer's way to its client
@@ -53,10 +53,11 @@
 
 def _effects(history: Sequence[Event], unsafe: frozenset[str]) -> Iterable[str]:
     """A call that a server took may have run. Refused means that it did not."""
-    took = Counter(event.call for event in history if event.what == "took" and event.cls in unsafe)
-    for call, times in took.items():
+    taken = [event.call for event in history if event.what == "took" and event.cls in unsafe]
+    took = Counter(taken)
+    for want, times in Counter(map(want_of, taken)).items():
         if times > 1:
-            yield f"{call}: unsafe, taken {times} times"
+            yield f"{want}: unsafe, taken {times} times"
     did = {event.call for event in history if event.what == "did"}
     for event in history:
         if event.what == "heard" and event.word == "refused" and took[event.call]:
--- a/rigs/cluster/history.py
+++ b/rigs/cluster/history.py
@@ -1,7 +1,8 @@
 """What clients and servers saw, on one clock: the machine's monotonic one. No I/O but the books' files.
 
-A want is `asked` once and `heard` once: served, refused, failed, lost (the connection ended without an
-answer) or silent (nothing came in time). A server `took` a call, `did` it, or was `pushed over`.
+A call is `asked` once and `heard` once: served, refused, failed, lost (the connection ended without an
+answer) or silent (nothing came in time). A want that was refused may come back as a further call. A server
+`took` a call, `did` it, or was `pushed over`.
 """
 
 from __future__ import annotations
@@ -22,6 +23,11 @@
     word: str = ""  # of `heard`; of `away` and `back`, why
 
 
+def want_of(call: str) -> str:
+    """The want of a call, which may be the second or third of it."""
+    return call.partition(".")[0]
+
+
 def read_books(folder: Path) -> list[Event]:
     """All servers' parts. A last line that a kill cut off is no event."""
     found = []
--- a/rigs/cluster/play.py
+++ b/rigs/cluster/play.py
@@ -92,9 +92,9 @@
 
 
 async def play(cluster: Cluster, wants: Mapping[Want, float], rate: float, seconds: float,
-               faults: Iterable[Fault], seed: int) -> list[Event]:
+               faults: Iterable[Fault], seed: int, returns: int = 0, heedless: float = 0.0) -> list[Event]:
     """`rate` wants a second for so long, faults at their times; all that were struck are whole at the end."""
-    crowd = Crowd([node.front for node in cluster.nodes], wants, seed)
+    crowd = Crowd([node.front for node in cluster.nodes], wants, seed, returns, heedless)
 
     async def later(fault: Fault) -> None:
         await asyncio.sleep(fault.at)
--- /dev/null
+++ b/tests/test_powerloss_hard.py
@@ -0,0 +1,193 @@
+"""A power loss and what else may be wrong with it: real processes through the rig."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+
+import pytest
+from msgspec.structs import replace as change
+
+from minthitch.interface import SECOND
+from minthitch.policy import Balancer, Server
+from minthitch.recovery.frame import decode, encode
+from rigs.cluster.checks import breaches
+from rigs.cluster.cluster import Cluster
+from rigs.cluster.history import Event
+from rigs.cluster.play import play
+from rigs.cluster.powerloss import DEADLINES, MAKE, TABLE, UNSAFE_CLASSES, WANTS, WARM_RATE
+from rigs.cluster.relay import BOTH
+from rigs.cluster.schedule import Fault
+from rigs.cluster.search import search
+from rigs.discovery import entry
+from tests.test_node import run
+
+Do = Callable[[Cluster], Awaitable[None]]
+AWAY = 0.5  # seconds
+LOST = (Fault(0.5, "power", last=AWAY),)
+
+
+async def _nothing(cluster: Cluster) -> None:
+    pass
+
+
+def lost(do: Do = _nothing, after: Do = _nothing, nodes: int = 3, servers: int = 6, load: float = 0.25,
+         siblings: int = 0, returns: int = 0, heedless: float = 0.0, keeps: bool = False,
+         seconds: float = 7.0) -> list[Event]:
+    """The history of a day on which all lose their power. `do` beforehand, `after` as it goes on."""
+    table = {**TABLE, "limits": {**TABLE["limits"], "siblings": siblings or nodes}}
+    found: list[list[Event]] = []
+
+    async def day() -> None:
+        async with Cluster(nodes, servers, table, MAKE, keeps=keeps) as cluster:
+            await cluster.all_ready()
+            await do(cluster)
+            going = asyncio.ensure_future(after(cluster))
+            found.append(await play(cluster, WANTS, load * servers * WARM_RATE, seconds, LOST, 1, returns,
+                                    heedless))
+            await going
+
+    run(day)
+    history, = found
+    assert breaches(history, DEADLINES, UNSAFE_CLASSES) == []
+    return history
+
+
+def came_back(history: list[Event]) -> float:
+    return max(e.at for e in history if e.what == "back" and e.word == "killed")
+
+
+def served(history: list[Event], since: float) -> float:
+    """Of the calls asked from then on, the part that was served."""
+    asked = {e.call for e in history if e.what == "asked" and e.at >= since}
+    heard = {e.call for e in history if e.what == "heard" and e.word == "served"}
+    assert asked
+    return len(asked & heard) / len(asked)
+
+
+# All short courses ------------------------------------------------------------------------------
+
+
+class Dark(Balancer):
+    def _least(self, now: int, warmth: float) -> float:
+        return 0.0
+
+
+class Eager(Balancer):
+    def _pool(self, now: int) -> list[Server]:
+        return list(self.servers.values())
+
+
+def test_each_course_of_two_steps_keeps_the_cold_budget_and_leaves_no_node_dark() -> None:
+    """Crashes, losses and splits at any step; each planted fault is seen."""
+    assert [found for found in search(Balancer, 2) if found[1]] == []
+    assert {broken for _, broken in search(Dark, 1)} == {"node 0 stays dark"}
+    assert "pushed over" in {broken for _, broken in search(Eager, 1)}
+
+
+# What discovery says ----------------------------------------------------------------------------
+
+
+async def _never(cluster: Cluster) -> None:
+    async def back() -> None:
+        pass
+
+    cluster.discovery_back = back  # type: ignore[method-assign]
+
+
+def test_where_discovery_never_comes_back_nothing_is_sent_and_nobody_is_ready() -> None:
+    history = lost(_never, seconds=4.0)
+    away = min(e.at for e in history if e.what == "away")
+    assert not [e for e in history if e.what == "took" and e.at > away + AWAY]
+    assert not [e for e in history if e.what == "back"]
+
+
+def lists(wrong: Callable[[Cluster], None]) -> tuple[Do, Do]:
+    """After the loss discovery tells `wrong`, and what is true 2 s later."""
+    true: list[Callable[[], None]] = []
+
+    async def do(cluster: Cluster) -> None:
+        true.append(cluster.list_servers)
+        cluster.list_servers = lambda: wrong(cluster)  # type: ignore[method-assign]
+
+    async def after(cluster: Cluster) -> None:
+        await asyncio.sleep(LOST[0].at + AWAY + 2.5)
+        true[0]()
+
+    return do, after
+
+
+def _empty(cluster: Cluster) -> None:
+    for node in cluster.nodes:
+        node.discovery.replace()
+
+
+def _old(cluster: Cluster) -> None:
+    """All as started ten minutes ago, half of them where they are no more."""
+    then = time.time_ns() // 1_000_000 - 600_000
+    for n, node in enumerate(cluster.nodes):
+        node.discovery.replace(*(
+            entry(s.make.name, s.links[n].address if i % 2 else "127.0.0.1:9", "up", then, i % 2)
+            for i, s in enumerate(cluster.servers)))
+
+
+@pytest.mark.parametrize(("wrong", "part"), [(_empty, 0.5), (_old, 0.5)])
+def test_a_wrong_list_after_the_loss_pushes_nobody_over_and_is_got_over(
+        wrong: Callable[[Cluster], None], part: float) -> None:
+    do, after = lists(wrong)
+    history = lost(do, after, seconds=8.0)
+    start = min(e.at for e in history if e.what == "away") + AWAY
+    if wrong is _empty:
+        assert not [e for e in history if e.what == "took" and start < e.at < start + 1.0]
+    assert served(history, start + 4.5) >= part
+
+
+# What nodes keep and hear -----------------------------------------------------------------------
+
+
+def test_half_of_the_nodes_were_down_before_and_wake_with_snapshots_of_another_time() -> None:
+    """Of yesterday, and of a clock that went back: one counts for less, the other for nothing."""
+    async def do(cluster: Cluster) -> None:
+        await asyncio.sleep(1.0)
+        for number, hours in ((0, -23), (1, 1)):
+            await cluster.kill_node(number)
+            for path in (cluster.place / "kept").glob(f"n{number}.*.snapshot"):
+                kept = decode(path.read_bytes())
+                kept = change(kept, wall=kept.wall + hours * 3_600 * SECOND, boot="another")
+                path.write_bytes(encode(kept))
+
+    history = lost(do, nodes=4, keeps=True)
+    assert served(history, came_back(history) + 1.0) >= 0.5
+
+
+@pytest.mark.parametrize("siblings", [4, 2, 8])
+def test_a_fleet_that_is_split_while_it_recovers_keeps_the_cold_budget(siblings: int) -> None:
+    """With the number of nodes true, too small by half and too large by twice; healed 3 s later."""
+    async def split(cluster: Cluster) -> None:
+        across = [link for node in cluster.nodes for link in node.peers
+                  if (link.name[1] in "01") != (link.name.rpartition("n")[2] in "01")]
+        assert len(across) == 8
+        for link in across:
+            link.set_cut(BOTH)
+        await asyncio.sleep(LOST[0].at + AWAY + 3.0)
+        for link in across:
+            link.set_cut(frozenset())
+
+    history = lost(after=split, nodes=4, load=1.2, siblings=siblings, keeps=True)
+    since = came_back(history) + 1.0
+    assert served(history, since) >= 0.1 and not [e for e in history if e.what == "pushed over"]
+
+
+# Who comes back ---------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("heedless", [0.1, 0.3, 1.0])
+def test_clients_that_ignore_retry_after(heedless: float) -> None:
+    """Each refused one comes back up to eight times; those that heed nothing 20 ms later."""
+    history = lost(load=0.7, returns=8, heedless=heedless)
+    since = came_back(history) + 1.0
+    sales = {e.call.partition(".")[0] for e in history
+             if e.what == "asked" and e.cls == "buy-ticket" and e.at >= since}
+    sold = {e.call.partition(".")[0] for e in history if e.what == "heard" and e.word == "served"}
+    assert len(sales & sold) >= 0.8 * len(sales)
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -29,6 +29,9 @@
 from minthitch.recovery.hearsay import Word, believe
 from minthitch.recovery.learned import class_times, rate, recollect
 from minthitch.recovery.model import HostRow, Snapshot, Times, class_digest, cold_digest
+from minthitch.recovery.phases import Phase, Phases, Seen
+from minthitch.recovery.plot import page
+from minthitch.recovery.seconds import MARK, Line, Seconds, read
 from minthitch.recovery.store import Store, youngest
 from minthitch.recovery.trust import Now, Terms, Trusted, judge
 from rigs.cluster.cluster import Cluster
@@ -466,15 +469,23 @@
         file = next(kept.glob("*.snapshot"))
         said.append(await ask(command, "recovery", "inspect", str(file)))
         said.append(await ask(command, "recovery", "inspect", str(file), "--json"))
+        log = cluster.place / "n0.log"
+        async with asyncio.timeout(20):
+            while MARK not in log.read_text():
+                await asyncio.sleep(0.1)
+        said.append(await ask(command, "recovery", "plot", str(log), "--out", str(tmp_path / "page")))
+        assert "has a list" in (tmp_path / "page").read_text()
         bad = tmp_path / "bad"
         bad.write_bytes(file.read_bytes()[:-1])
         wrong = [await ask(command, "recovery", *words) for words in (
-            ("inspect", str(bad)), ("status", "nowhere"), ("explain", f"127.0.0.1:{free_port()}"),
+            ("inspect", str(bad)), ("plot", str(bad), "--out", str(bad)), ("status", "nowhere"),
+            ("explain", f"127.0.0.1:{free_port()}"),
             ("forget", str(bad), "--node", "n0"))]
         await cluster.kill_node(0)
         said.append(await ask(command, "recovery", "forget", str(kept), "--node", "n0"))
     assert all(done.returncode == 0 for done in said), said
-    for done, what in zip(wrong, ("torn", "'nowhere'", "no answer", "not a folder"), strict=True):
+    faults = ("torn", "no node's log", "'nowhere'", "no answer", "not a folder")
+    for done, what in zip(wrong, faults, strict=True):
         assert done.returncode == 2 and what in done.stderr and len(done.stderr.splitlines()) == 1
     return "\n".join(done.stdout for done in said), len(list(tmp_path.iterdir()))
 
@@ -486,7 +497,7 @@
         found.append((await _explained(tmp_path))[0])
 
     run(day)
-    for what in ("n0: up ", "n0 of rig: a snapshot", "list ", "good: node n0 of rig",
+    for what in ("n0: has a list for", "1 nodes, ", "n0 of rig: a snapshot", "list ", "good: node n0 of rig",
                  '"cluster": "rig"', "snapshots removed"):
         assert what in found[0], found[0]
 
@@ -516,3 +527,110 @@
 
     run(day)
     assert "nothing is known from before" in logs[0] and "by 2 of 4 nodes, 3 of 3 asked" in logs[0]
+
+# Phases -----------------------------------------------------------------------------------------
+
+SECOND_BY_SECOND: dict[str, tuple[tuple[Seen, Phase | None], ...]] = {
+    "a cold fleet, step by step": (
+        (Seen(1, 0, 0, 0, 0, 0), None), (Seen(2, 6, 0, 0, 0, 0), Phase.LISTED),
+        (Seen(3, 6, 0, 1, 0, 4), Phase.FIRST), (Seen(4, 6, 0, 2, 1, 9), Phase.WORTH),
+        (Seen(SECOND, 6, 2, 9, 5, 10), None), (Seen(2 * SECOND, 6, 3, 20, 15, 10), Phase.WHOLE)),
+    "warm servers, no list before": (
+        (Seen(1, 6, 6, 3, 2, 0), Phase.WORTH), (Seen(SECOND, 6, 6, 5, 5, 0), Phase.WHOLE)),
+    "refused though warm, for a minute": (
+        (Seen(1, 6, 6, 3, 2, 1), Phase.WORTH), (Seen(59 * SECOND, 6, 6, 9, 9, 2), None),
+        (Seen(61 * SECOND, 6, 6, 9, 9, 3), Phase.WHOLE)),
+    "the servers' power is lost, the node's is not": (
+        (Seen(1, 6, 6, 3, 2, 0), Phase.WORTH), (Seen(SECOND, 6, 6, 5, 5, 0), Phase.WHOLE),
+        (Seen(2 * SECOND, 0, 0, 5, 5, 0), Phase.DARK), (Seen(3 * SECOND, 6, 0, 5, 5, 8), Phase.LISTED),
+        (Seen(4 * SECOND, 6, 0, 6, 5, 8), Phase.FIRST), (Seen(5 * SECOND, 6, 0, 6, 6, 8), Phase.WORTH)),
+    "all are replaced at once": (
+        (Seen(1, 6, 6, 3, 2, 0), Phase.WORTH), (Seen(SECOND, 6, 6, 5, 5, 0), Phase.WHOLE),
+        (Seen(2 * SECOND, 6, 0, 5, 5, 0), Phase.LISTED), (Seen(3 * SECOND, 6, 0, 6, 6, 0), Phase.WORTH)),
+}
+
+
+@pytest.mark.parametrize("name", list(SECOND_BY_SECOND))
+def test_each_phase_has_its_condition(name: str) -> None:
+    phases = Phases(0)
+    for seen, expected in SECOND_BY_SECOND[name]:
+        step = phases.look(seen)
+        assert (step.phase if step else None) == expected, seen
+
+
+def test_a_phase_that_lasts_too_long_is_said_once() -> None:
+    phases = Phases(0)
+    steps = [phases.look(Seen(n * SECOND, 0, 0, 0, 0, 0)) for n in range(1, 60)]
+    said = [(step.late, step.why) for step in steps if step]
+    assert said == [(True, "still waits for a list with a server")]
+
+
+SEEN = st.builds(Seen, st.integers(0, 1 << 50), *[st.integers(0, 9)] * 5, st.booleans())
+
+
+@given(st.lists(SEEN, max_size=40))
+def test_any_looks_are_taken_and_nothing_is_whole_without_warm_servers(looks: list[Seen]) -> None:
+    phases = Phases(0)
+    for seen in sorted(looks, key=lambda seen: seen.now):
+        step = phases.look(seen)
+        assert step is None or step.late or step.phase is phases.phase
+        assert phases.phase is not Phase.WHOLE or (seen.listed and seen.warm)
+        assert (phases.phase is Phase.DARK) == (not seen.listed)
+        assert not (phases.servable(seen.now, SECOND) and phases.phase is Phase.DARK)
+
+
+@pytest.mark.parametrize(("looks", "now", "servable"), [
+    ((), SECOND, False), ((Seen(1, 6, 0, 0, 0, 0),), SECOND, False),
+    ((Seen(1, 6, 0, 0, 0, 0),), 5 * SECOND + 1, True),  # nobody waits for ever
+    ((Seen(1, 6, 0, 0, 0, 0, True),), 2, True), ((Seen(1, 6, 0, 1, 0, 0),), 2, True),
+    ((Seen(1, 6, 0, 0, 0, 0, True), Seen(2, 0, 0, 0, 0, 0, True)), 3, False)])
+def test_a_node_below_the_first_tier_is_ready_once_a_server_is_reached(
+        looks: tuple[Seen, ...], now: int, servable: bool) -> None:
+    phases = Phases(0)
+    for seen in looks:
+        phases.look(seen)
+    assert phases.servable(now, 5 * SECOND) == servable
+
+
+async def _beside() -> None:
+    cluster = Cluster(1, 1, TABLE, MAKE, keeps=True)
+    cluster.table["recovery"]["ready_within"] = "60s"
+    async with cluster:
+        await cluster.all_ready()
+        await cluster.kill_node(0)
+        link, log = cluster.servers[0].links[0], cluster.place / "n0.log"
+        link.refuse()
+        mark = log.stat().st_size
+        await cluster.start_node(0)
+        async with asyncio.timeout(20):
+            while "has a list" not in log.read_text()[mark:]:
+                await asyncio.sleep(0.05)
+        assert not await cluster.ready(0)
+        await link.open()
+        await cluster.all_ready()
+
+
+def test_a_node_beside_a_server_is_not_ready_before_the_tier_below_takes_connections() -> None:
+    run(_beside)
+
+
+def test_seconds_are_told_until_it_is_whole_and_read_back() -> None:
+    seconds = Seconds(["a", "b"], 0)
+    lines = [seconds.look(n * SECOND, THEN, Phase.WORTH if n < 5 else Phase.WHOLE,
+                          [(n, 0, 0), (0, 2 * n, n)]) for n in range(1, 30)]
+    told = [line for line in lines if line]
+    assert len(told) == 4 + 5 and seconds.look(29 * SECOND + 1, THEN, Phase.WHOLE, [(0, 0, 0)] * 2) is None
+    found = read(["n1: " + line for line in told] + ["n1: " + told[0][:30], "n2: other", "x" + MARK])
+    assert list(found) == ["n1"] and found["n1"][3].classes == {"a": (1, 0, 0), "b": (0, 2, 1)}
+    seconds.again()
+    again = [bool(seconds.look(n * SECOND, THEN, Phase.DARK, [(0, 0, 0)] * 2)) for n in range(30, 999)]
+    assert sum(again) == 120
+
+
+@given(st.dictionaries(st.text(max_size=9), st.lists(st.builds(
+    Line, st.integers(), st.integers(), st.text(max_size=9), st.dictionaries(
+        st.text(max_size=9), st.tuples(*[st.integers(0, 9)] * 3), max_size=2)), max_size=3), max_size=3))
+def test_any_lines_make_a_page(logs: dict[str, list[Line]]) -> None:
+    for by_start in (False, True):
+        text = page(logs, by_start)
+        assert text.startswith("<!doctype html>") and "<script" not in text
