Recovery: a server that was reached before the list was lost no longer makes a node ready

Seen on reading the change once more: attach.py kept its own `reached` for ever beside the one in Phases, which is given up when the list is lost; behind an empty list a node with `ready_within` said ready though no server took connections. It is now told once a look, and Phases alone keeps it. The test (an empty list, then a true one whose server refuses) fails without the line.

--- a/minthitch/recovery/attach.py
+++ b/minthitch/recovery/attach.py
@@ -134,8 +134,9 @@
             return
         servers = engine.balancer.servers.values()
         warm = sum(server.warmth(now, engine.balancer.settings) >= 1.0 for server in servers)
+        reached, self.reached = self.reached, False  # danger: what was reached once may be gone
         step = self.phases.look(Seen(now, len(servers), warm, counts.sends, sum(counts.served),
-                                     sum(counts.refused), self.reached))
+                                     sum(counts.refused), reached))
         if step is not None:
             self.log(f"recovery: {step.phase}: {step.why}")
             if step.phase is Phase.LISTED:
@@ -161,13 +162,11 @@
 
         await asyncio.gather(*(one(s.host, s.port) for s in chosen), return_exceptions=True)
 
-    def _servable(self) -> bool:
-        return self.phases.servable(self.engine.clock.now(), self.config.ready_within)
-
     def ready(self) -> bool:
         """Whether callers may be sent here. Beside a server, which the tier above takes for ready by this
         node's word, once the tier below is reached."""
-        return not self.config.ready_within or self._servable()
+        within = self.config.ready_within
+        return not within or self.phases.servable(self.engine.clock.now(), within)
 
     # Peers --------------------------------------------------------------------------------------
 
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -608,6 +608,18 @@
         assert not await cluster.ready(0)
         await link.open()
         await cluster.all_ready()
+        link.refuse()  # and once more behind an empty list: what was reached then may be gone
+        mark = log.stat().st_size
+        cluster.nodes[0].discovery.replace()
+        async with asyncio.timeout(20):
+            while "no server is listed" not in log.read_text()[mark:]:
+                await asyncio.sleep(0.05)
+            cluster.list_servers()
+            while "has a list" not in log.read_text()[mark:]:
+                await asyncio.sleep(0.05)
+        assert not await cluster.ready(0)
+        await link.open()
+        await cluster.all_ready()
 
 
 def test_a_node_beside_a_server_is_not_ready_before_the_tier_below_takes_connections() -> None:
