Read once more: mutants, came_back and want_of stand once; an exact count is exact again

The falling-over test had its 15 loosened to a range, as the server warmed while it waited on a busy machine: a server that does not warm gives 15 again.

--- a/bench/hunt.py
+++ b/bench/hunt.py
@@ -23,6 +23,7 @@
 from minthitch.lab.rivals.base import World
 from minthitch.lab.trial import verdict
 from minthitch.policy import Attempt, Balancer, Request, Server
+from rigs.cluster.without import Eager
 
 DAYS, QUICK_DAYS = 200, 20  # over all families
 DRAWS = 3  # within which a planted fault is to be seen
@@ -83,13 +84,6 @@
         super()._listed(now, replace(event, entries=kept))
 
 
-class Eager(Balancer):
-    """Takes a cold server for a warm one."""
-
-    def _pool(self, now: int) -> list[Server]:
-        return list(self.servers.values())
-
-
 class Open(Balancer):
     """Turns nothing away."""
 
--- a/bench/powerloss.py
+++ b/bench/powerloss.py
@@ -16,14 +16,15 @@
 
 import uvloop
 
-from minthitch.policy import Balancer, Server
+from minthitch.policy import Balancer
 from rigs.cluster.checks import breaches
 from rigs.cluster.cluster import Cluster
-from rigs.cluster.history import Event, want_of
+from rigs.cluster.history import Event, came_back, want_of
 from rigs.cluster.play import play
 from rigs.cluster.powerloss import AIMS, DEADLINES, MAKE, TABLE, UNSAFE_CLASSES, WANTS, WARM_RATE, WORTHS
 from rigs.cluster.schedule import Fault
 from rigs.cluster.search import ACTS, Make, search
+from rigs.cluster.without import Dark, Eager
 
 NODES, SERVERS = 6, 12
 LOST_AT, AWAY = 1.5, 1.0  # seconds
@@ -56,7 +57,7 @@
 class Figures:
     trial: Trial
     carried: float  # while all is cold, from SETTLED on
-    first: float  # the same in the two seconds before
+    first: float  # the same in the seconds before
     worthiest: float
     whole: float  # once all are warm
     pushed: int
@@ -108,7 +109,7 @@
         await cluster.all_ready()
         history = await play(cluster, WANTS, rate, seconds, trial.faults, trial.seed, trial.returns,
                              trial.heedless)
-    back = max(e.at for e in history if e.what == "back" and e.word == "killed")
+    back = came_back(history)
     warm = int(MAKE.cold_time)
     best = max(WORTHS, key=lambda name: WORTHS[name])
     return Figures(
@@ -164,21 +165,6 @@
     return await asyncio.gather(*(one(trial) for trial in trials(quick)))
 
 
-class Dark(Balancer):
-    """Cold servers get what warm ones tell, and no more."""
-
-    def _least(self, now: int, warmth: float) -> float:
-        return 0.0
-
-
-class Eager(Balancer):
-    """A cold server is sent what comes."""
-
-    def _pool(self, now: int) -> list[Server]:
-        super()._pool(now)
-        return list(self.servers.values())
-
-
 MAKES: tuple[Make, ...] = (Balancer, Dark, Eager)
 DEPTH = 4, 3  # steps of a course: in full, and for --quick
 
--- a/minthitch/policy.py
+++ b/minthitch/policy.py
@@ -288,7 +288,7 @@
         self.load = Evidence(LOAD_HALF_LIFE, LOAD_KEEPS)  # all calls, times in what their class usually takes
         self.calm, self.calm_at = math.inf, 0  # the lowest load lately, and when it was judged
         self.shares = [(0.0, 0)] * len(settings.tenants)  # requests in a tenant's share; when counted
-        self.out, self.busy = 0, 0.0  # attempts that are out, and requests held; on average over arrivals
+        self.out, self.busy = 0, 0.0  # attempts that are out; on average over the last arrivals
         # Those that wait until a server may take them, by class, as they came.
         self.held: list[dict[int, Request]] = [{} for _ in settings.classes]
         self.warm_from: float = math.inf  # when the first listed server is warm; before, all are cold
--- a/minthitch/recovery/phases.py
+++ b/minthitch/recovery/phases.py
@@ -71,7 +71,8 @@
                 self.reached = seen.reached
             self.phase, self.since, self.why, self.said_late = phase, seen.now, why, False
             return self.look(seen) or Step(phase, why)
-        if not self.said_late and seen.now - self.since >= MOST.get(self.phase, seen.now):
+        most = MOST.get(self.phase)
+        if most is not None and not self.said_late and seen.now - self.since >= most:
             self.said_late = True
             return Step(self.phase, f"still waits for {WAITS_FOR[self.phase]}", late=True)
         return None
--- a/rigs/cluster/history.py
+++ b/rigs/cluster/history.py
@@ -28,6 +28,11 @@
     return call.partition(".")[0]
 
 
+def came_back(history: Iterable[Event]) -> float:
+    """When the last node that was killed was ready again. Raises ValueError where none was."""
+    return max(e.at for e in history if e.what == "back" and e.word == "killed")
+
+
 def read_books(folder: Path) -> list[Event]:
     """All servers' parts. A last line that a kill cut off is no event."""
     found = []
--- a/rigs/cluster/search.py
+++ b/rigs/cluster/search.py
@@ -53,10 +53,10 @@
         # When, order, node, its life, event, when that was sent.
         self.due: list[tuple[int, int, int, int, api.Event, int]] = []
         self.order = self.requests = 0
-        self.lives, self.nodes = [0] * NODES, list[Decider]()
+        self.lives = [0] * NODES
         self.attempts: dict[tuple[int, int], int] = {}  # node, request
         self.pushed = False
-        self.nodes += [self._new() for _ in range(NODES)]
+        self.nodes = [self._new() for _ in range(NODES)]
         for node in range(NODES):
             self._tell(node, api.ListKind.FULL)
 
--- a/rigs/cluster/without.py
+++ b/rigs/cluster/without.py
@@ -1,4 +1,7 @@
-"""The program without one part of its recovery: `python -m rigs.cluster.without PART serve FILE`."""
+"""The program without one part of its recovery: `python -m rigs.cluster.without PART serve FILE`.
+
+`Dark` and `Eager` are such decisions for a search over them alone.
+"""
 
 from __future__ import annotations
 
@@ -9,9 +12,22 @@
 from minthitch.policy import Balancer, Server
 
 
-def _nothing_from_time() -> None:
+class Dark(Balancer):
     """Cold servers get what warm ones tell, and where none is warm nothing, as before."""
-    setattr(Balancer, "_least", lambda self, now, warmth: 0.0)  # noqa: B010
+
+    def _least(self, now: int, warmth: float) -> float:
+        return 0.0
+
+
+class Eager(Balancer):
+    """Takes a cold server for a warm one."""
+
+    def _pool(self, now: int) -> list[Server]:
+        return list(self.servers.values())
+
+
+def _nothing_from_time() -> None:
+    setattr(Balancer, "_least", Dark._least)  # noqa: B010
 
 
 def _no_order() -> None:
--- a/tests/test_powerloss.py
+++ b/tests/test_powerloss.py
@@ -152,7 +152,8 @@
 
 async def _crowded() -> list[Event]:
     """A cold server whose window bears 14 calls is sent 20 at once, past every node."""
-    async with Cluster(0, 1, TABLE, MAKE) as cluster:
+    make = replace(MAKE, cold_time=9_000.0)  # it bears no more however late they come
+    async with Cluster(0, 1, TABLE, make) as cluster:
         server = cluster.servers[0]
         server.links.append(Link("n0-s0"))
         await server.kill()
@@ -173,9 +174,7 @@
         books.append(await _crowded())
 
     run(day)
-    # More the later it comes: it gets warmer.
-    assert [event.what for event in books[0]].count("took") in range(15, 20)
-    assert books[0][-1].what == "pushed over"
+    assert [event.what for event in books[0]].count("took") == 15 and books[0][-1].what == "pushed over"
     assert any("pushed over" in line for line in breaches(books[0], DEADLINES, UNSAFE_CLASSES))
 
 
--- a/tests/test_powerloss_hard.py
+++ b/tests/test_powerloss_hard.py
@@ -10,16 +10,17 @@
 from msgspec.structs import replace as change
 
 from minthitch.interface import SECOND
-from minthitch.policy import Balancer, Server
+from minthitch.policy import Balancer
 from minthitch.recovery.frame import decode, encode
 from rigs.cluster.checks import breaches
 from rigs.cluster.cluster import Cluster
-from rigs.cluster.history import Event
+from rigs.cluster.history import Event, came_back, want_of
 from rigs.cluster.play import play
 from rigs.cluster.powerloss import DEADLINES, MAKE, TABLE, UNSAFE_CLASSES, WANTS, WARM_RATE
 from rigs.cluster.relay import BOTH
 from rigs.cluster.schedule import Fault
 from rigs.cluster.search import search
+from rigs.cluster.without import Dark, Eager
 from rigs.discovery import entry
 from tests.test_node import run
 
@@ -54,10 +55,6 @@
     return history
 
 
-def came_back(history: list[Event]) -> float:
-    return max(e.at for e in history if e.what == "back" and e.word == "killed")
-
-
 def served(history: list[Event], since: float) -> float:
     """Of the calls asked from then on, the part that was served."""
     asked = {e.call for e in history if e.what == "asked" and e.at >= since}
@@ -69,16 +66,6 @@
 # All short courses ------------------------------------------------------------------------------
 
 
-class Dark(Balancer):
-    def _least(self, now: int, warmth: float) -> float:
-        return 0.0
-
-
-class Eager(Balancer):
-    def _pool(self, now: int) -> list[Server]:
-        return list(self.servers.values())
-
-
 def test_each_course_of_two_steps_keeps_the_cold_budget_and_leaves_no_node_dark() -> None:
     """Crashes, losses and splits at any step; each planted fault is seen."""
     assert [found for found in search(Balancer, 2) if found[1]] == []
@@ -132,15 +119,15 @@
             for i, s in enumerate(cluster.servers)))
 
 
-@pytest.mark.parametrize(("wrong", "part"), [(_empty, 0.5), (_old, 0.5)])
+@pytest.mark.parametrize("wrong", [_empty, _old])
 def test_a_wrong_list_after_the_loss_pushes_nobody_over_and_is_got_over(
-        wrong: Callable[[Cluster], None], part: float) -> None:
+        wrong: Callable[[Cluster], None]) -> None:
     do, after = lists(wrong)
     history = lost(do, after, seconds=8.0)
     start = min(e.at for e in history if e.what == "away") + AWAY
     if wrong is _empty:
         assert not [e for e in history if e.what == "took" and start < e.at < start + 1.0]
-    assert served(history, start + 4.5) >= part
+    assert served(history, start + 4.5) >= 0.5
 
 
 # What nodes keep and hear -----------------------------------------------------------------------
@@ -187,7 +174,7 @@
     """Each refused one comes back up to eight times; those that heed nothing 20 ms later."""
     history = lost(load=0.7, returns=8, heedless=heedless)
     since = came_back(history) + 1.0
-    sales = {e.call.partition(".")[0] for e in history
+    sales = {want_of(e.call) for e in history
              if e.what == "asked" and e.cls == "buy-ticket" and e.at >= since}
-    sold = {e.call.partition(".")[0] for e in history if e.what == "heard" and e.word == "served"}
+    sold = {want_of(e.call) for e in history if e.what == "heard" and e.word == "served"}
     assert len(sales & sold) >= 0.8 * len(sales)
