A vise that leaves refuses in time and answers all it took; the gate promises only what can be in its aim

Ruled out: longer lingering (GraceS is the bound); deadlines as the gate's measure (what waits and is dropped costs twice).

Change: from 0.58 of GraceS on a leaving vise refuses with 503, and whatever it takes has a deadline before its end; the gate keeps a mean for each route and lets in only what should end within its aim (rank 0, which others wait for, within 0.8 of its deadline); a connect that fails, and no other outcome, takes a server out until its next beat; elections after 0.25 s, a disk is hung after 0.3 s. Tests of the small cores (pieces, gate, budget, claims, rack, choice).

--- a/minthitch/clamp/gate.py
+++ b/minthitch/clamp/gate.py
@@ -10,8 +10,11 @@
 
 MOST_QUEUED = 256  # bound on what waits, whatever its deadlines: memory
 FIRST_MEAN = 0.1  # seconds that a request is taken to need before any has ended
-SMOOTH = 0.05  # weight of the newest time in the mean
-HOPE = 0.9  # part of what is left within which a newcomer must be expected to end, or it is turned away
+SMOOTH = 0.05  # weight of the newest time in a mean
+MOST_ROUTES = 4_000  # routes whose means are kept
+URGENT = 0  # the rank of what others wait for with a slot of theirs in hand: it may come late
+LEAST_PART = 0.5  # of what it needs: with less time left than that, it is not begun
+HOPE = 0.8  # part of what is left to its deadline within which even that must be expected to end
 
 Job = TypeVar("Job")
 
@@ -36,6 +39,11 @@
         self.slots, self.running = slots, 0
         self.queue: list[Waiting[Job]] = []
         self.mean = FIRST_MEAN
+        self.means: dict[str, float] = {}
+
+    def needs(self, route: str) -> float:
+        """Seconds that one of this route takes at the server, about."""
+        return self.means.get(route, self.mean)
 
     @property
     def queued(self) -> int:
@@ -43,34 +51,43 @@
 
     def wait(self, rank: int) -> float:
         """Seconds that one of this rank would wait for a slot, about."""
-        ahead = sum(1 for w in self.queue if w.rank <= rank)
         if self.running < self.slots:
             return 0.0
-        return (ahead + 1) * self.mean / max(self.slots, 1)
+        ahead = sum(w.needs for w in self.queue if w.rank <= rank)
+        return (ahead + self.mean) / max(self.slots, 1)
 
     def arrive(self, now: float, waiting: Waiting[Job]) -> bool | None:
         """True: it starts now. False: it waits. None: it is turned away, never having run."""
         if self.running < self.slots and not self.queue:
             self.running += 1
             return True
-        hopeless = now + self.wait(waiting.rank) + waiting.needs > now + HOPE * (waiting.deadline - now)
-        if hopeless or len(self.queue) >= MOST_QUEUED:
+        # Danger: what waits and is not served in the end has cost its client the time to go elsewhere.
+        ends = now + self.wait(waiting.rank) + waiting.needs
+        by = waiting.due
+        if waiting.rank <= URGENT:
+            by = max(by, now + HOPE * (waiting.deadline - now))
+        if ends > by or len(self.queue) >= MOST_QUEUED:
             return None
         self.queue.append(waiting)
         return False
 
-    def ended(self, took: float | None) -> None:
+    def ended(self, route: str, took: float | None) -> None:
         """A slot is free; `took` seconds were spent in it, None where that tells nothing."""
         self.running = max(self.running - 1, 0)
-        if took is not None:
-            self.mean += SMOOTH * (took - self.mean)
+        if took is None:
+            return
+        self.mean += SMOOTH * (took - self.mean)
+        if route in self.means:
+            self.means[route] += SMOOTH * (took - self.means[route])
+        elif len(self.means) < MOST_ROUTES:
+            self.means[route] = took
 
     def next(self, now: float) -> tuple[list[Job], list[Job]]:
         """(those that start now, those turned away because their time is over)."""
         starts: list[Job] = []
-        late = [w for w in self.queue if now + w.needs > w.deadline]
+        late = [w for w in self.queue if now + LEAST_PART * w.needs > w.deadline]
         if late:
-            self.queue = [w for w in self.queue if now + w.needs <= w.deadline]
+            self.queue = [w for w in self.queue if now + LEAST_PART * w.needs <= w.deadline]
         while self.queue and self.running < self.slots:
             best = min(self.queue, key=lambda w: w.order(now))
             self.queue.remove(best)
--- a/minthitch/forge/hall.py
+++ b/minthitch/forge/hall.py
@@ -13,7 +13,7 @@
 
 from minthitch.anvil.core import Core
 from minthitch.anvil.messages import DATA, MEMBERS, Action, Apply, Diverged, Persist, Restore, Send, Timing
-from minthitch.chest.store import Chest, Kind
+from minthitch.chest.store import Chest, ChestBroken, Kind
 from minthitch.chest.writer import Writer
 from minthitch.forge.state import CLAIM, CONFIG, ROTATE, State, command
 from minthitch.press.boot import Boot
@@ -23,9 +23,9 @@
 from minthitch.scribe.events import Event, say
 
 TICK = 0.02  # seconds between two looks at the agreement's time
-TIMING = Timing(beat=0.06, election=0.35)
+TIMING = Timing(beat=0.05, election=0.25)
 PUSH_EVERY = 0.5  # seconds between two words to a vise, whatever has changed
-HUNG = 0.5  # seconds without an answer of the disk after which it counts as hung
+HUNG = 0.3  # seconds without an answer of the disk after which it counts as hung
 FULL_FOR = 0.5  # seconds after its last complaint for which a disk counts as full
 KNOCK_EVERY = 0.5  # seconds between two tries of a learner to be taken in
 UNCLEAR = 3.0  # seconds after which a proposal is answered as unclear
@@ -35,6 +35,8 @@
 MOST_PROPOSED = 20_000  # proposals that wait for their result
 MOST_PATCH = 4 * 1024 * 1024  # bytes of one call of the operator
 Result = Callable[[tuple[Any, ...] | None], None]
+Clock = Callable[[], float]
+MakeWriter = Callable[[Chest, Callable[[int], None], Callable[[str, bool], None], Clock], Writer]
 
 
 class Watcher:
@@ -49,11 +51,13 @@
 class Hall:
     """Everything that one forge holds."""
 
-    def __init__(self, boot: Boot) -> None:
-        self.boot = boot
+    def __init__(self, boot: Boot, chest: Chest | None = None, writer: MakeWriter = Writer,
+                 clock: Clock = time.monotonic) -> None:
+        """Models give `chest`, `writer` and `clock` (steady seconds); else they are the system's."""
+        self.boot, self.clock = boot, clock
         self.loop = asyncio.get_running_loop()
         self.ip, self.port = boot.own.ip, boot.net.port_range[0]
-        self.random = random.Random(time.time_ns())
+        self.random = random.Random(os.urandom(8))
         self.state, self.rack = State(), Rack()
         self.seeds = tuple(seed.rpartition(":")[0] for seed in boot.net.seeds)
         self.ropes: dict[str, Rope] = {}
@@ -71,9 +75,9 @@
         self.led_since: float | None = None
         self.rotated_at = 0.0
         size = int(max(boot.own.limits.disk_mb, 16.0) * MAP_PART) * 1024 * 1024
-        self.chest = Chest(boot.own.datadir or "/tmp/forge", size)
+        self.chest = chest or Chest(boot.own.datadir or "/tmp/forge", size)
         self.core = self._core()
-        self.writer = Writer(self.chest, self._synced_soon, self._trouble_soon)
+        self.writer = writer(self.chest, self._synced_soon, self._trouble_soon, clock)
         self.writer.start()
         self._act(self.core.drain())
         self.know(self.seeds + tuple(member.partition("#")[0] for member in self.core.voters))
@@ -86,6 +90,8 @@
     def _core(self) -> Core:
         chest, founders = self.chest, tuple[str, ...]()
         say(Event.DISK_LOADED, state=chest.kind.value, entries=chest.header.last, term=chest.header.term)
+        if chest.kind is Kind.NEWER:  # danger: written by a later version: what it says would be lost
+            raise ChestBroken("the folder was written by a later version")
         if chest.kind is not Kind.WHOLE:
             # Only the first start of the whole system, told so, may form a group; danger: two groups.
             founds = self.boot.own.init and chest.kind is Kind.EMPTY and self.ip in self.seeds
@@ -119,7 +125,7 @@
 
     def _look_at_disk(self, now: float) -> None:
         since = self.writer.pending_since
-        late = time.monotonic() - since if since is not None else 0.0
+        late = self.clock() - since if since is not None else 0.0
         bad = late > HUNG or now - self.complaint < FULL_FOR
         if bad != self.bad:
             self.bad = bad
--- a/minthitch/forge/program.py
+++ b/minthitch/forge/program.py
@@ -8,6 +8,7 @@
 
 import uvloop
 
+from minthitch.chest.store import ChestBroken, ChestFull
 from minthitch.forge.desk import Desk
 from minthitch.forge.hall import Hall
 from minthitch.press.boot import BadSettings, Boot, load
@@ -24,7 +25,11 @@
 async def serve(boot: Boot) -> int:
     """Serves until SIGTERM. Gives the exit code."""
     loop = asyncio.get_running_loop()
-    hall = Hall(boot)
+    try:
+        hall = Hall(boot)
+    except (ChestBroken, ChestFull, OSError) as err:
+        say(Event.DISK_USELESS, why=err)
+        return 3
     desk = Desk(hall)
     porch = Porch(desk, MOST_VISITORS, BODIES)
     try:
--- a/minthitch/pulley/ops.py
+++ b/minthitch/pulley/ops.py
@@ -6,9 +6,9 @@
 
 PING = 0  # []: the line's own beat
 HELLO = 1  # [kind, name]: who opened the line
-CALL = 2  # [id, life, left s, rank, flags, method, target, fields, body]: run this at your server
+CALL = 2  # [id, life, left s, aim s, rank, flags, method, target, fields, body, request id, caller, route]
 ANSWER = 3  # [id, status, fields, body, running, queued]: what the server said
-BUSY = 4  # [id, reason, running, queued, wait s]: not run, and never will
+BUSY = 4  # [id, reason, whether it arrived, running, queued, wait s]: not run, and never will
 LOST = 5  # [id, reason, running, queued]: no answer; it may have run
 CANCEL = 6  # [id]: the asker needs it no more
 REPORT = 7  # [record]: what a vise says of itself and its server
--- a/minthitch/scribe/events.py
+++ b/minthitch/scribe/events.py
@@ -42,6 +42,7 @@
     DISK_SLOW = 402, logging.WARNING, "the disk has not answered for {since:.1f} s"
     DISK_FULL = 403, logging.WARNING, "the disk takes nothing: {why}"
     DISK_WELL = 404, logging.INFO, "the disk answers again"
+    DISK_USELESS = 405, logging.ERROR, "the data folder can't be used: {why}"
 
     @property
     def number(self) -> int:
--- a/minthitch/vise/front.py
+++ b/minthitch/vise/front.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 import time
 from collections.abc import Callable
@@ -18,6 +19,7 @@
 from minthitch.pulley.line import Line
 from minthitch.rack.table import Record
 from minthitch.scribe.events import Event, say
+from minthitch.spool.upstream import Shelf
 from minthitch.spool.visitors import Visitor
 from minthitch.vise.choice import Choice, Target
 from minthitch.vise.gatehouse import Gatehouse
@@ -27,7 +29,7 @@
 
 MOST_SERVER_LINES = 256  # connections to the own server: its slots bound them, this is a guard
 MOST_DEADLINE = 600.0  # seconds: a longer one is cut
-UNREACHABLE = 0.5  # seconds after which a key's owner that could not be reached is given up
+BACK_WHEN_LEAVING = 0.05  # seconds after which one that came too late is to try elsewhere
 Told = Callable[[ops.Message | None], None]
 
 
@@ -43,7 +45,8 @@
 class Front:
     """Everything that one vise holds, on the running loop."""
 
-    def __init__(self, boot: Boot, epoch: int) -> None:
+    def __init__(self, boot: Boot, epoch: int, shelf: Shelf | None = None) -> None:
+        """`epoch` is larger for each life; `shelf` is given by models, else the server's connections."""
         self.boot, self.epoch = boot, epoch
         self.loop = asyncio.get_running_loop()
         self.port = boot.net.port_range[0]
@@ -51,6 +54,8 @@
         self.random = random.Random(epoch ^ hash(boot.own.ip))
         self.seq = 0
         self.leaving = False
+        self.last = math.inf  # by when all that is open is answered: this process ends then
+        self.shut = math.inf  # from when on nothing more is taken
         self.said_ready = False
         self.table: Table | None = None
         self.choice = Choice(boot.own.az, epoch)
@@ -65,7 +70,8 @@
         self.nested = 0.0  # calls of repeated runs that are not charged yet, in parts
         self.peers: dict[str, Peer] = {}
         self.counts: dict[str, int] = {}
-        self.gatehouse = Gatehouse(boot.own.upstream, boot.own.svc, MOST_SERVER_LINES, self.tell)
+        shelf = shelf or Shelf(MOST_SERVER_LINES)
+        self.gatehouse = Gatehouse(boot.own.upstream, boot.own.svc, shelf, self.tell)
         name = f"{boot.own.ip}/{epoch}"
         self.forges = Forges(self, self.port, name)
         self.keys = Keys(self.forges, boot.terms.bounds.key_win_s, name, self._ask)
@@ -129,6 +135,8 @@
         if self.table is None:
             pause = REPLIES[ErrorKind.NO_CONFIG].retry_after or 0.0
             raise Rejected(503, "no configuration", int(pause * 1e9))
+        if now >= self.shut:  # danger: what is taken now could not be answered before the process ends
+            raise Rejected(503, "leaving", int(BACK_WHEN_LEAVING * 1e9))
         route = self.table.match(item.fields.get(b"host", b""), item.target)
         if route is None:
             visitor.respond(visitor.token, 404, (), b"")
@@ -345,9 +353,9 @@
 
     # The end ----------------------------------------------------------------------------------------
 
-    def leave(self) -> None:
-        """No new work from here on; what is open is finished."""
-        self.leaving = True
+    def leave(self, shut: float, last: float) -> None:
+        """No new clients are wanted; what comes until `shut` is taken, and answered by `last` (loop's s)."""
+        self.leaving, self.shut, self.last = True, shut, last
         self.tell()
 
     def open(self) -> int:
--- a/minthitch/vise/gatehouse.py
+++ b/minthitch/vise/gatehouse.py
@@ -11,14 +11,15 @@
 
 from minthitch.clamp.gate import Gate, Waiting
 from minthitch.engine.calls import Message
+from minthitch.interface import Status
 from minthitch.press.calls import Beat, read_beat
 from minthitch.pulley import ops
 from minthitch.scribe.events import Event, say
 from minthitch.spool.upstream import NOT_RUN, RAN, Errand, Outcome, Shelf, Upstream
 
 LATE = 0.05  # seconds beyond the deadline in which the server's own word on it may still come
+UNREACHED = Status.CONNECT_FAILED.value
 ONCE, REPEAT = 1, 2  # flags of a call: it may not run twice; another copy of it went out before
-NEEDS_PART = 0.5  # of the usual time: what a queued call is taken to need at least
 Reply = Callable[[ops.Message], None]
 
 
@@ -26,13 +27,13 @@
     """One call at the gate."""
 
     __slots__ = ("key", "ident", "message", "identity", "caller", "life", "deadline", "flags", "reply",
-                 "errand", "began", "timer", "over")
+                 "errand", "began", "timer", "over", "route")
 
     def __init__(self, key: Hashable, reply: Reply, message: ops.Message, now: float) -> None:
-        _, ident, life, left, _due, _rank, flags, method, target, fields, body, identity, caller = message
+        _, ident, life, left, _, _, flags, method, target, fields, body, identity, caller, route = message
         self.key, self.ident, self.life, self.flags, self.reply = key, ident, life, flags, reply
         self.message = Message(method, target, fields, body)
-        self.identity, self.caller = identity, caller
+        self.identity, self.caller, self.route = identity, caller, route
         self.deadline = now + left
         self.errand: Errand | None = None
         self.began = 0.0
@@ -43,10 +44,10 @@
 class Gatehouse:
     """Knows the server's life by its beats, and runs on it what may run."""
 
-    def __init__(self, upstream: str, service: str, most: int, changed: Callable[[], None]) -> None:
+    def __init__(self, upstream: str, service: str, shelf: Shelf, changed: Callable[[], None]) -> None:
         self.loop = asyncio.get_running_loop()
         self.address, self.service, self.changed = upstream, service, changed
-        self.shelf = Shelf(most)
+        self.shelf = shelf
         self.gate: Gate[Job] = Gate(0)
         self.life, self.state, self.slots, self.seq = "", "none", 0, -1
         self.cold_until = 0.0
@@ -78,10 +79,9 @@
         self.shelf.hang_up(self.upstream)  # type: ignore[arg-type]
         self.upstream = Upstream(self.address)
         self.life, self.state = life, "none"
-        running, mean = self.gate.running, self.gate.mean
+        mean, means = self.gate.mean, self.gate.means
         self.gate = Gate(beat.summary.cap)
-        self.gate.mean = mean
-        del running
+        self.gate.mean, self.gate.means = mean, means
         self.cold_until = self.loop.time() + beat.stat.cold_s
 
     def _be(self, state: str) -> None:
@@ -103,7 +103,7 @@
         if self.state != "up" or job.life != self.life:
             self._busy(job, "gone", False)
             return
-        needs = NEEDS_PART * self.gate.mean
+        needs = self.gate.needs(job.route)
         verdict = self.gate.arrive(now, Waiting(job, message[5], now + message[4], job.deadline, needs))
         if verdict is None:
             self._busy(job, "full", False)
@@ -123,14 +123,14 @@
 
     def _done(self, job: Job, outcome: Outcome) -> None:
         if job.life == self.life:
-            self.gate.ended(self.loop.time() - job.began if outcome.kind is RAN else None)
+            took = self.loop.time() - job.began if outcome.kind is RAN and outcome.status < 500 else None
+            self.gate.ended(job.route, took)
         self.repeats -= bool(job.flags & REPEAT)
         if not job.over:
             self._tell(job, outcome)
         self._forget(job)
-        if outcome.kind is NOT_RUN and not outcome.arrived and self.state == "up" and job.life == self.life:
+        if outcome.why == UNREACHED and not outcome.arrived and self.state == "up" and job.life == self.life:
             self._be("none")  # no connection to it comes up: its next beat tells otherwise
-            self.seq -= 1
         self._next()
 
     def _tell(self, job: Job, outcome: Outcome) -> None:
--- a/minthitch/vise/program.py
+++ b/minthitch/vise/program.py
@@ -17,7 +17,9 @@
 from minthitch.vise.front import Front
 
 LINGER = 2.5  # seconds after SIGTERM in which clients may still come: the platform looks once a second
+SHUT_PART = 0.58  # of GraceS after which what still comes is refused: where most nodes leave, clients stay
 LAST = 0.6  # seconds before GraceS by which the process ends in any case
+ANSWERED = 0.2  # seconds before that by which all is answered
 LOOK = 0.1  # seconds between two looks at what is open while it ends
 RESERVE = 200  # descriptors for files, lines and listeners
 RESIDENT_MB = 60.0  # megabytes that the process holds without long bodies
@@ -49,8 +51,9 @@
     await ending.wait()
     began = loop.time()
     say(Event.TERM, open=front.open())
-    front.leave()
-    until = began + boot.terms.bounds.grace_s - LAST
+    grace = boot.terms.bounds.grace_s
+    until = began + grace - LAST
+    front.leave(began + max(SHUT_PART * grace, LINGER), until - ANSWERED)
     while loop.time() < until and (loop.time() < began + LINGER or front.open()):
         await asyncio.sleep(LOOK)
     say(Event.ENDED, after=loop.time() - began, open=front.open())
--- a/minthitch/vise/trip.py
+++ b/minthitch/vise/trip.py
@@ -53,7 +53,7 @@
                  now: float, left: float) -> None:
         self.front, self.visitor, self.token, self.item = front, visitor, visitor.token, item
         self.route, self.service, self.began = route, service, now
-        self.deadline = now + min(left, route.timeout)
+        self.deadline = min(now + min(left, route.timeout), front.last)
         self.due = now + route.goal
         self.identity = item.fields[b"x-request-id"]
         named = {part.strip().lower() for part in item.fields.get(b"connection", b"").split(b",")}
@@ -136,7 +136,8 @@
         item = self.item
         self.front.send(attempt, (
             ops.CALL, attempt.ident, target.life, self.deadline - now, self.due - now, self.route.priority,
-            flags, item.method, item.target, self.fields, item.body, self.identity, self.front.caller))
+            flags, item.method, item.target, self.fields, item.body, self.identity, self.front.caller,
+            self.route.name))
 
     def _overdue(self) -> None:
         """Nothing has come for longer than such calls take: one more copy, if the budget has it."""
--- /dev/null
+++ b/tests/mesh/test_parts.py
@@ -0,0 +1,264 @@
+"""The small pure cores: pieces, gate, budget, claims, book, rack, choice. Histories drawn, then checked."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from minthitch.clamp.budget import PART, Budget
+from minthitch.clamp.gate import MOST_QUEUED, Gate, Waiting
+from minthitch.pulley.pieces import LONGEST, MOST_OPEN, PIECE, Broken, Inbox, Outbox
+from minthitch.rack.table import GONE_AFTER, Rack, Record, Views
+from minthitch.stamp.book import ANSWERED, FREE, MOST_BYTES, UNKNOWN, Book
+from minthitch.stamp.claims import Claim, Claims
+from minthitch.vise.choice import Choice
+
+
+class Pieces(unittest.TestCase):
+    def test_messages_of_all_ranks_arrive_whole_however_the_bytes_are_cut(self) -> None:
+        rng = random.Random(7)
+        for _ in range(20):
+            outbox, inbox = Outbox(), Inbox()
+            sizes = 0, 1, 100, PIECE, PIECE + 1, 5 * PIECE + 3
+            sent = [rng.randbytes(rng.choice(sizes)) for _ in range(30)]
+            for data in sent:
+                outbox.put(data, rng.randrange(3))
+            wire = b""
+            while piece := outbox.take():
+                wire += piece
+            got = []
+            while wire:
+                cut = rng.randrange(1, 4 * PIECE)
+                got += list(inbox.feed(wire[:cut]))
+                wire = wire[cut:]
+            self.assertEqual(sorted(got), sorted(sent))
+            self.assertEqual((outbox.size, inbox.held, inbox.open), (0, 0, {}))
+
+    def test_a_short_message_waits_behind_one_piece_of_a_long_one_at_most(self) -> None:
+        outbox, inbox = Outbox(), Inbox()
+        long = outbox.put(b"x" * (50 * PIECE), 1)
+        first = outbox.take()
+        assert first is not None
+        outbox.put(b"short", 1)
+        outbox.put(b"urgent", 0)
+        second, third, fourth = outbox.take(), outbox.take(), outbox.take()
+        assert second is not None and third is not None and fourth is not None
+        self.assertEqual(list(inbox.feed(first + second)), [b"urgent"])
+        self.assertEqual(list(inbox.feed(third + fourth)), [b"short"])
+        self.assertFalse(long.whole)
+
+    def test_one_dropped_before_its_first_piece_never_leaves(self) -> None:
+        outbox = Outbox()
+        outbox.put(b"gone", 1).dropped = True
+        self.assertIsNone(outbox.take())
+        self.assertEqual(outbox.size, 0)
+
+    def test_bytes_that_are_no_pieces_and_too_many_begun_are_told(self) -> None:
+        with self.assertRaises(Broken):
+            list(Inbox().feed(b"GET / HTTP/1.1\r\n\r\n"))
+        inbox, outbox = Inbox(), Outbox()
+        with self.assertRaises(Broken):
+            outbox.put(b"x" * (LONGEST + 1), 1)
+        for _ in range(MOST_OPEN + 1):
+            outbox.put(b"x" * (2 * PIECE), 1)
+        with self.assertRaises(Broken):
+            list(inbox.feed(b"".join(outbox.take() or b"" for _ in range(MOST_OPEN + 1))))
+
+
+class Gates(unittest.TestCase):
+    def test_never_more_at_once_than_slots_and_nobody_is_lost(self) -> None:
+        for seed in range(40):
+            self._play(random.Random(seed))
+
+    def _play(self, rng: random.Random) -> None:
+        slots = rng.randrange(1, 5)
+        gate: Gate[int] = Gate(slots)
+        running: set[int] = set()
+        fate: dict[int, str] = {}
+        now = 0.0
+        for job in range(300):
+            now += rng.expovariate(20.0)
+            waiting = Waiting(job, rng.randrange(3), now + 0.3, now + 0.6, 0.02)
+            verdict = gate.arrive(now, waiting)
+            fate[job] = {True: "ran", False: "waits", None: "away"}[verdict]
+            if verdict:
+                running.add(job)
+            while running and rng.random() < 0.5:
+                running.discard(rng.choice(sorted(running)))
+                gate.ended("r", 0.1)
+                starts, late = gate.next(now)
+                running.update(starts)
+                fate.update(dict.fromkeys(starts, "ran") | dict.fromkeys(late, "away"))
+            self.assertLessEqual(len(running), slots)
+            self.assertEqual(len(running), gate.running)
+            self.assertLessEqual(gate.queued, MOST_QUEUED)
+        waits = [job for job, end in fate.items() if end == "waits"]
+        self.assertEqual(sorted(waits), sorted(gate.empty()))
+
+    def test_a_lower_rank_goes_first_and_what_can_be_in_time_before_what_cannot(self) -> None:
+        gate: Gate[str] = Gate(1)
+        gate.arrive(0.0, Waiting("runs", 1, 1.0, 9.0, 0.1))
+        for name, rank, due in (("late", 1, 0.35), ("later", 1, 2.0), ("soon", 1, 1.0), ("inner", 0, 3.0)):
+            self.assertIs(gate.arrive(0.0, Waiting(name, rank, due, 9.0, 0.1)), False)
+        order = []
+        for _ in range(4):
+            gate.ended("r", 0.1)
+            order += gate.next(0.3)[0]
+        self.assertEqual(order, ["inner", "soon", "later", "late"])
+
+    def test_one_that_cannot_be_served_in_time_is_turned_away_at_once(self) -> None:
+        gate: Gate[int] = Gate(1)
+        gate.means["r"] = gate.mean = 0.5
+        gate.arrive(0.0, Waiting(0, 1, 1.0, 1.0, 0.2))
+        self.assertIsNone(gate.arrive(0.0, Waiting(1, 1, 0.3, 0.4, 0.2)))
+
+
+class Budgets(unittest.TestCase):
+    def test_all_nodes_together_keep_the_sum_over_every_window(self) -> None:
+        for seed in range(10):
+            rng = random.Random(seed)
+            nodes, ratio, slack, window = rng.randrange(1, 30), 0.2, 60.0, 10.0
+            budgets = [Budget(ratio, slack, window) for _ in range(nodes)]
+            asked, spent = [], []
+            now = 0.0
+            for _ in range(6_000):
+                now += rng.expovariate(150.0)
+                which = rng.randrange(nodes)
+                if rng.random() < 0.002:
+                    budgets[which] = Budget(ratio, slack, window)  # it starts again: nothing earned
+                budgets[which].request(now)
+                asked.append(now)
+                if rng.random() < 0.6 and budgets[which].spend(now, nodes):
+                    spent.append(now)
+            for at in spent[::7]:
+                further = sum(1 for t in spent if at <= t < at + window)
+                requests = max(sum(1 for t in asked if at - back <= t < at - back + window)
+                               for back in (0.0, window / 2, window))
+                self.assertLessEqual(further, ratio * requests + slack)
+
+    def test_the_slack_alone_is_shared(self) -> None:
+        budget = Budget(0.2, 60.0, 10.0)
+        left = int(60.0 * PART / 5)
+        self.assertEqual([budget.spend(0.0, 5) for _ in range(left + 1)], [True] * left + [False])
+
+
+class Keys(unittest.TestCase):
+    def test_one_holder_a_key_until_it_is_named_and_rotations_keep_what_is_young(self) -> None:
+        claims = Claims()
+        one, two = Claim("a", b"1", b"d"), Claim("b", b"2", b"d")
+        self.assertEqual(claims.claim(b"k", one, b""), one)
+        self.assertEqual(claims.claim(b"k", two, b""), one)
+        self.assertEqual(claims.claim(b"k", one, b""), one)  # the same claim once more: its answer was lost
+        claims.rotate()
+        self.assertEqual(claims.claim(b"k", two, b""), one)
+        self.assertEqual(claims.claim(b"k", two, b"1"), two)
+        self.assertEqual(claims.claim(b"k", Claim("c", b"3", b"d"), b"1"), two)  # free only once
+        copy = Claims()
+        copy.load(claims.dump())
+        self.assertEqual(copy.find(b"k"), two)
+        claims.rotate()
+        claims.rotate()
+        self.assertIsNone(claims.find(b"k"))
+
+    def test_what_became_of_an_operation_is_told_once_and_never_changes(self) -> None:
+        book, heard = Book(60.0), list[str]()
+        operation = book.begin(b"k", b"c", b"d", 0.0)
+        operation.waiting.append(lambda op: heard.append(op.state))
+        book.lost(operation)
+        book.freed(operation)
+        self.assertEqual((heard, operation.state), ([UNKNOWN], UNKNOWN))
+        other = book.begin(b"x", b"y", b"d", 0.0)
+        book.freed(other)
+        self.assertEqual((other.state, book.by_key.get(b"x")), (FREE, None))
+
+    def test_answers_are_bounded_in_bytes_and_forgotten_ones_are_unknown(self) -> None:
+        book = Book(60.0)
+        operations = []
+        for number in range(30):
+            operation = book.begin(b"%d" % number, b"%d" % number, b"d", 0.0)
+            book.answered(operation, 200, (), b"x" * (MOST_BYTES // 20))
+            operations.append(operation)
+        self.assertLessEqual(book.size, MOST_BYTES)
+        self.assertEqual((operations[0].state, operations[-1].state), (UNKNOWN, ANSWERED))
+        book.begin(b"new", b"new", b"d", 61.0)
+        self.assertEqual(len(book.held), 1)
+
+
+def record(ip: str, epoch: int, seq: int, state: str = "up") -> Record:
+    return Record(ip, 1, epoch, seq, "z", "svc", f"life-{epoch}", 9, state, 0.0, True)
+
+
+class Racks(unittest.TestCase):
+    def test_watchers_that_hear_differences_hold_what_the_rack_holds(self) -> None:
+        for seed in range(20):
+            rng = random.Random(seed)
+            rack, version, held, now = Rack(), 0, dict[str, Record](), 0.0
+            for step in range(300):
+                now += rng.uniform(0.0, 0.3)
+                ip = f"10.0.0.{rng.randrange(6)}"
+                rack.note(now, record(ip, rng.randrange(3), step, rng.choice(("up", "draining"))))
+                rack.sweep(now)
+                if rng.random() < 0.3:
+                    whole, changed, dropped = rack.since(version)
+                    version = rack.version
+                    held = {} if whole else held
+                    held.update({r.ip: r for r in changed})
+                    for ip in dropped:
+                        held.pop(ip, None)
+                    self.assertEqual({ip: r.life for ip, r in held.items()},
+                                     {ip: r.life for ip, r in rack.records.items()})
+            rack.sweep(now + GONE_AFTER + 1.0)
+            self.assertFalse(rack.records)
+
+    def test_the_newest_life_wins_and_the_last_view_stays(self) -> None:
+        views = Views()
+        views.take("f1", True, [record("a", 2, 1)], [])
+        views.take("f2", True, [record("a", 1, 9)], [])
+        self.assertEqual(views.merged["a"].epoch, 2)
+        views.forget("f1")
+        self.assertEqual(views.merged["a"].epoch, 1)
+        views.forget("f2")
+        self.assertIn("a", views.merged)
+
+
+class Choices(unittest.TestCase):
+    def setUp(self) -> None:
+        self.choice = Choice("here", 1)
+        self.choice.listed(0.0, [("svc", f"life-{n}", f"ip-{n}", "here" if n < 3 else "there", 9, 0.0)
+                                 for n in range(6)])
+
+    def _learn(self, life: str, took: float, times: int = 30) -> None:
+        target = self.choice.targets["svc"][life]
+        for n in range(times):
+            self.choice.sent(target)
+            self.choice.ended(n * 0.1, target, "r", 0.4, took, ok=True, lost=False)
+
+    def test_a_quick_one_nearby_is_preferred_and_a_barred_or_shut_one_is_not_asked(self) -> None:
+        for n in range(6):
+            self._learn(f"life-{n}", 0.1)
+        picked = {self.choice.pick(3.0, "svc", "r", 0.4, 0.4, 1, 0, ())[0].zone for _ in range(20)}
+        self.assertEqual(picked, {"here"})
+        barred = {f"life-{n}" for n in range(5)}
+        chosen = self.choice.pick(3.0, "svc", "r", 0.4, 0.4, 1, 0, barred)
+        self.assertEqual([t.life for t in chosen], ["life-5"])
+        self.choice.shut(3.0, self.choice.targets["svc"]["life-0"], False)
+        self.assertNotIn("life-0", {self.choice.pick(3.0, "svc", "r", 0.4, 0.4, 1, 0, ())[0].life
+                                    for _ in range(30)})
+
+    def test_one_slow_server_alone_is_not_enough_and_two_are_raced(self) -> None:
+        for n in range(6):
+            self._learn(f"life-{n}", 0.35, 4)  # few samples: exponential
+        chosen = self.choice.pick(1.0, "svc", "r", 0.4, 0.6, 3, 0, ())
+        self.assertGreater(len(chosen), 1)
+        self.assertEqual(len(self.choice.pick(1.0, "svc", "r", 0.4, 0.6, 1, 0, ())), 1)
+
+    def test_a_server_told_to_be_full_is_left_alone(self) -> None:
+        for n in range(6):
+            self._learn(f"life-{n}", 0.1)
+        self.choice.told(3.0, self.choice.targets["svc"]["life-0"], 9, 20)
+        self.assertNotIn("life-0", {self.choice.pick(3.0, "svc", "r", 0.4, 0.4, 1, 0, ())[0].life
+                                    for _ in range(30)})
+
+
+if __name__ == "__main__":
+    unittest.main()
