--- a/minthitch/cli/commands.py
+++ b/minthitch/cli/commands.py
@@ -16,6 +16,8 @@
 from minthitch.listing import ListError, parse_address, static_listing
 from minthitch.program import complain, run
 
+MESH = "mesh"  # its words are read elsewhere, by another library
+
 
 def parser() -> argparse.ArgumentParser:
     top = argparse.ArgumentParser(
@@ -40,6 +42,7 @@
     lab.add_to(commands)
     fleet.add_to(commands)
     recovery.add_to(commands)
+    commands.add_parser(MESH, add_help=False, help="the mesh: settings, data folders, events (extra `mesh`)")
     return top
 
 
@@ -89,8 +92,21 @@
         "max_open": config.settings.max_open, "sockets": config.sockets})
 
 
+def _mesh(argv: Sequence[str]) -> int:
+    try:
+        from minthitch.cli import mesh  # danger: its library must be loaded by no node, and by no daemon
+
+        return mesh.main(argv)
+    except ModuleNotFoundError as err:
+        return complain(ConfigError(f"mesh: no module {err.name}: the extra `mesh` is not installed"))
+    except ConfigError as err:
+        return complain(err)
+
+
 def main(argv: Sequence[str]) -> int:
     """Carries out one command. Gives its exit code, 2 for a configuration that can't be used."""
+    if argv[:1] == [MESH]:
+        return _mesh(argv[1:])
     args = parser().parse_args(argv)
     try:
         if args.command == "check":
--- /dev/null
+++ b/minthitch/cli/folder.py
@@ -0,0 +1,149 @@
+"""A stopped forge's data folder, read without being changed: what is in it, and what its log does."""
+
+from __future__ import annotations
+
+import shutil
+import tempfile
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any
+
+import msgpack
+from msgspec import DecodeError, json
+
+from minthitch.anvil.messages import DATA, MEMBERS, Entry, Saved
+from minthitch.chest.store import Chest, ChestBroken, ChestFull, Header, Kind
+from minthitch.config import ConfigError
+from minthitch.forge.state import CLAIM, CONFIG, ROTATE, State
+
+FILE = "data.mdb"
+LEAST_MAP = 16 * 1024 * 1024  # bytes
+MEANS = {
+    Kind.EMPTY: "nothing was ever written: a start takes it for a new disk",
+    Kind.TORN: "something acknowledged may be missing: a start gives it up and rejoins under a new name",
+    Kind.FOREIGN: "no file of a forge: a start moves it aside",
+    Kind.NEWER: "written by a later version: this one leaves it alone and does not start",
+}
+
+
+class Found:
+    """What is in a folder. `saved` is None unless it is whole and something was decided."""
+
+    def __init__(self, kind: Kind, header: Header, saved: Saved | None) -> None:
+        self.kind, self.header, self.saved = kind, header, saved
+        self.entries = saved.entries if saved is not None else ()
+
+    @property
+    def members(self) -> tuple[str, ...]:
+        """The voters by the log's last word on them."""
+        tables = [entry for entry in self.entries if entry.kind == MEMBERS]
+        return tuple(msgpack.unpackb(tables[-1].data)) if tables else self.header.members
+
+    def told(self) -> str:
+        """In one line."""
+        if self.kind is not Kind.WHOLE:
+            return f"{self.kind.value}: {MEANS[self.kind]}"
+        header = self.header
+        image = f"image up to {header.snap_index}, " if header.snap_index else ""
+        return (f"{self.kind.value}: disk {header.name!r}, term {header.term}, {image}"
+                f"{len(self.entries)} entries, last index {header.last}, "
+                f"members {', '.join(self.members) or 'none'}")
+
+
+@contextmanager
+def _copied(folder: Path) -> Iterator[str]:
+    """Danger: opening a chest retires a torn meta page; a copy is opened, so the folder stays as it is."""
+    if not folder.is_dir():
+        raise ConfigError(f"{folder}: not a folder")
+    with tempfile.TemporaryDirectory(prefix="minthitch-") as copy:
+        if (folder / FILE).exists():
+            shutil.copyfile(folder / FILE, Path(copy, FILE))
+        yield copy
+
+
+def look(folder: Path) -> Found:
+    """Raises ConfigError where the folder can't be read."""
+    try:
+        with _copied(folder) as copy:
+            file = Path(copy, FILE)
+            chest = Chest(copy, max(2 * file.stat().st_size if file.exists() else 0, LEAST_MAP))
+            try:
+                return Found(chest.kind, chest.header, chest.load())
+            finally:
+                chest.close()
+    except (OSError, ChestBroken, ChestFull) as err:
+        raise ConfigError(f"{folder}: can't be read: {err}") from None
+
+
+def whole(folder: Path) -> Found:
+    """Raises ConfigError where the folder is not whole: what it holds must not be taken for the truth."""
+    found = look(folder)
+    if found.kind is not Kind.WHOLE:
+        raise ConfigError(f"{folder}: {found.told()}")
+    return found
+
+
+def begun(found: Found) -> State:
+    """What is agreed as of the image, before the entries."""
+    state = State()
+    if found.saved is not None:
+        state.load(found.saved.snapshot)
+    return state
+
+
+def replayed(found: Found) -> State:
+    """What the log comes to at its end; its last entries may not be agreed yet."""
+    state = begun(found)
+    for entry in found.entries:
+        if entry.kind == DATA:
+            state.apply(entry.index, entry.data)
+    return state
+
+
+def log_lines(found: Found, first: int) -> Iterator[str]:
+    """A line for each entry from `first` on: index, term, kind, what it does."""
+    state = begun(found)
+    if found.header.snap_index >= max(first, 1):
+        claims = state.claims.count()
+        yield (f"image up to {found.header.snap_index}, term {found.header.snap_term}: "
+               f"configuration {state.items.index}, {claims} claims")
+    for entry in found.entries:
+        line = _told(state, entry)
+        if entry.index >= first:
+            yield f"{entry.index} {entry.term} {line}"
+
+
+def _told(state: State, entry: Entry) -> str:
+    if entry.kind == MEMBERS:
+        return f"members {', '.join(msgpack.unpackb(entry.data))}"
+    if entry.kind != DATA:
+        return "noop"
+    result = state.apply(entry.index, entry.data)
+    kind, body = msgpack.unpackb(entry.data, use_list=False)
+    if kind == CONFIG:
+        return f"config {result[0]} {result[1] or _items(body)}"
+    if kind == CLAIM:
+        return _claim(msgpack.unpackb(body, use_list=False), result)
+    return "rotate" if kind == ROTATE else f"kind {kind}"
+
+
+def _claim(row: tuple[Any, ...], result: tuple[Any, ...]) -> str:
+    key, owner, claim, _digest, over = row
+    instead = f" over {over.hex()[:8]}" if over else ""
+    held = f", held by {result[1]}" if result[0] == "held" else ""
+    return f"claim {key.hex()} {claim.hex()[:8]}{instead} by {owner}: {result[0]}{held}"
+
+
+def _items(body: bytes) -> str:
+    """The items a call brings, with their versions; one that is dropped has a minus in front."""
+    try:
+        call = json.decode(body)
+    except DecodeError as err:
+        return f"{len(body)} bytes: {err}"
+    told = []
+    for part, sign in (("Upsert", ""), ("Del", "-")):
+        for section, items in call.get(part, {}).items():
+            for item in items if isinstance(items, list) else [items]:
+                told.append(" ".join(filter(None, (f"{sign}{section}", item.get("Name"), item["Ver"]))))
+    return ", ".join(told)
--- a/minthitch/forge/hall.py
+++ b/minthitch/forge/hall.py
@@ -68,14 +68,14 @@
         self.knocked: dict[str, float] = {}  # learners that knock here
         self.complaint = -1e9
         self.bad = False
-        self.dirty = False
+        self.dirty = self.knew_newest = False
         self.failed: BaseException | None = None
         self.finished = asyncio.Event()
         self.said: tuple[Any, ...] = ()
         self.led_since: float | None = None
         self.rotated_at = 0.0
         size = int(max(boot.own.limits.disk_mb, 16.0) * MAP_PART) * 1024 * 1024
-        self.chest = chest or Chest(boot.own.datadir or "/tmp/forge", size)
+        self.chest = chest or Chest(boot.own.datadir, size)
         self.core = self._core()
         self.writer = writer(self.chest, self._synced_soon, self._trouble_soon, clock)
         self.writer.start()
@@ -118,11 +118,19 @@
         now = self.loop.time()
         self._look_at_disk(now)
         self._act(self.core.tick(now))
-        self._tell_changes(now)
-        if self.dirty:
+        changed = self._tell_changes(now)
+        if changed or self._knows_newest(now) != self.knew_newest:
+            self.knew_newest = self._knows_newest(now)
+            self.dirty = False
+            self.push(True)  # danger: vises would send claims to the leader before for half a second more
+        elif self.dirty:
             self.dirty = False
             self.push(False)
 
+    def _knows_newest(self, now: float) -> bool:
+        """Whether what this forge has applied is what was agreed, and not of a time before a cut."""
+        return self.core.fresh(now) and self.core.applied >= self.core.commit > 0
+
     def _look_at_disk(self, now: float) -> None:
         since = self.writer.pending_since
         late = self.clock() - since if since is not None else 0.0
@@ -135,12 +143,13 @@
                 say(Event.DISK_WELL)
             self._act(self.core.disk_trouble(now, bad))
 
-    def _tell_changes(self, now: float) -> None:
+    def _tell_changes(self, now: float) -> bool:
+        """Says who leads and votes; whether that is news."""
         core = self.core
         leads = core.role == "leader"
         told = (core.role == "leader", core.leader, core.term, core.voters)
         if told == self.said:
-            return
+            return False
         if not self.said or told[3] != self.said[3]:
             say(Event.MEMBERS, voters=", ".join(core.voters))
         if leads:
@@ -154,7 +163,7 @@
         self.rotated_at = now
         self.know(tuple(member.partition("#")[0] for member in core.voters))
         self._resend()
-        self.dirty = True
+        return True
 
     def _act(self, actions: list[Action]) -> None:
         for action in actions:
@@ -278,7 +287,10 @@
 
     def _heard(self, line: Line, message: ops.Message) -> None:
         op = message[0]
-        if op == ops.RAFT:
+        if op == ops.HELLO:
+            if line.kind == "forge" and line.name in self.ropes:
+                self.ropes[line.name].nudge()
+        elif op == ops.RAFT:
             if message[1] == self.core.me:  # danger: meant for the disk that was lost
                 self._act(self.core.receive(self.loop.time(), message[2], message[3]))
                 if self.dirty:
@@ -356,7 +368,7 @@
 
     def _push(self, line: Line, watcher: Watcher) -> None:
         core, items = self.core, self.state.items
-        fresh = core.fresh(self.loop.time()) and core.applied >= core.commit > 0
+        fresh = self._knows_newest(self.loop.time())
         delta = None
         if fresh and items.index > watcher.index >= 0:
             delta = items.since(watcher.index)
--- a/minthitch/forge/program.py
+++ b/minthitch/forge/program.py
@@ -22,6 +22,14 @@
 LAST_WORDS = 0.3  # seconds in which answers under way still go out
 
 
+def needed(boot: Boot) -> Boot:
+    """Raises BadSettings where a forge can't do without what is missing."""
+    for key, value in (("Self.Datadir", boot.own.datadir), ("Net.Bind.Ctl", boot.net.bind.ctl)):
+        if not value:
+            raise BadSettings(key, "", "is missing")
+    return boot
+
+
 async def serve(boot: Boot) -> int:
     """Serves until SIGTERM. Gives the exit code."""
     loop = asyncio.get_running_loop()
@@ -58,7 +66,7 @@
     """Exit codes: 0 after SIGTERM, 1 for an address, 2 for settings, 3 for a disk that can't be used."""
     open_log()
     try:
-        boot = load()
+        boot = needed(load())
     except BadSettings as err:
         say(Event.SETTINGS, key=err.key, value=err.value, why=err.why)
         return 2
--- a/minthitch/pulley/line.py
+++ b/minthitch/pulley/line.py
@@ -16,7 +16,7 @@
 BEAT = 0.5  # seconds without a word after which a line says one
 DEAD = 2.0  # seconds without a word after which a line is given up: cuts are silent
 CONNECT = 1.0  # seconds for a connection to come up
-PAUSES = (0.05, 0.1, 0.2, 0.4, 0.8)  # seconds between two tries
+PAUSES = (0.05, 0.1, 0.2, 0.25)  # seconds between two tries: a restart must not be noticed late
 MOST_HELD = 96 * 1024 * 1024  # bytes that may wait to go out on one line
 
 
@@ -165,6 +165,13 @@
         if self.on_down is not None:
             self.on_down(self)
 
+    def nudge(self) -> None:
+        """The other end is there, it has called: no pause any more."""
+        self.tries = 0
+        if self.timer is not None:
+            self.timer.cancel()
+            self._retry()
+
     def _retry(self) -> None:
         self.timer = None
         self.start()
--- a/minthitch/pulley/ops.py
+++ b/minthitch/pulley/ops.py
@@ -22,5 +22,7 @@
 RESULT = 15  # [id, done, data]: what applying it gave; done False = not taken, never will be by this
 KNOCK = 16  # [member]: take me in
 FETCH = 17  # [id]: give me the whole configuration as the leader knows it
+BEG = 18  # [index]: no forge can be reached from here: what do you know that is newer?
+FED = 19  # [items or None, records]
 
 Message = tuple[Any, ...]
--- a/minthitch/vise/choice.py
+++ b/minthitch/vise/choice.py
@@ -126,12 +126,12 @@
         return price
 
     def _chance(self, now: float, target: Target, route: str, base: float, left: float) -> float:
+        shape, mean = self._curve(now, target.curves.get(route))
         over = target.busy(now) + 1.0 - target.room(now)
         if over > 0:  # it waits for a slot first
-            left -= over * base / max(target.room(now), 1.0)
+            left -= over * mean * base / max(target.room(now), 1.0)
         if left <= 0:
             return 0.0
-        shape, mean = self._curve(now, target.curves.get(route))
         return gammainc(shape, shape * left / (mean * base))
 
     def _curve(self, now: float, evidence: Evidence | None) -> tuple[float, float]:
--- a/minthitch/vise/front.py
+++ b/minthitch/vise/front.py
@@ -29,6 +29,7 @@
 
 MOST_SERVER_LINES = 256  # connections to the own server: its slots bound them, this is a guard
 MOST_DEADLINE = 600.0  # seconds: a longer one is cut
+BEGGED = 2  # vises that one without forges asks at a time
 BACK_WHEN_LEAVING = 0.05  # seconds after which one that came too late is to try elsewhere
 Told = Callable[[ops.Message | None], None]
 
@@ -230,6 +231,8 @@
                 ask.done(message)
         elif op == ops.CLAIMED:
             self.forges.claimed(message)
+        elif op == ops.FED:
+            self.forges.fed(message)
         elif op in (ops.ANSWER, ops.BUSY, ops.LOST):
             attempt = self.attempts.pop(message[1], None)
             if attempt is not None:
@@ -331,6 +334,9 @@
             self.keys.asked(message[1], message[2], lambda answer: _say_on(line, answer))
         elif op == ops.CLAIM:
             self._relay_for(line, message)
+        elif op == ops.BEG and self.forges.reachable():
+            delta = self.forges.replica.since(message[1]) if self.forges.replica.index > message[1] else None
+            _say_on(line, (ops.FED, delta, list(self.forges.views.merged.values())))
 
     def fell(self, line: Line) -> None:
         self.gatehouse.fell(line)
@@ -343,6 +349,12 @@
         self.random.choice(up).rope.send(message, 0)
         return True
 
+    def beg(self, message: ops.Message) -> None:
+        """Asks a few of the vises that can be reached."""
+        up = [peer for peer in self.peers.values() if peer.rope.up]
+        for peer in self.random.sample(up, min(len(up), BEGGED)):
+            peer.rope.send(message, 0)
+
     def _relay_for(self, line: Line, message: ops.Message) -> None:
         if not self.forges.reachable():
             _say_on(line, (ops.CLAIMED, message[1], NO_LEADER, "", b"", b""))
--- a/minthitch/vise/keys.py
+++ b/minthitch/vise/keys.py
@@ -74,8 +74,12 @@
         """Another has claimed it: its word decides."""
 
         def told(message: ops.Message | None) -> None:
-            state = message[2] if message is not None else UNKNOWN
-            if state == ANSWERED and message is not None:
+            if message is None:  # its owner can't be reached: perhaps the next repeat can
+                self.book.freed(operation)
+                trip.fail(ErrorKind.KEY_UNKNOWN)
+                return
+            state = message[2]
+            if state == ANSWERED:
                 self.book.answered(operation, message[3], message[4], message[5])
                 trip.settle(message[3], message[4], message[5])
             elif state == FREE and turns > 0 and self.loop.time() < trip.deadline:
--- a/minthitch/vise/links.py
+++ b/minthitch/vise/links.py
@@ -17,6 +17,7 @@
 SWEEP = 0.1  # seconds between two looks at claims
 MOST_FORGES = 64  # forges kept lines to
 Claimed = Callable[[str, str, bytes, bytes], None]  # verdict, owner, claim, digest
+PEER = "another vise"  # whose view stands in where no forge can be reached
 GRANTED, HELD, FULL, NO_LEADER = "granted", "held", "full", "no leader"
 
 
@@ -26,13 +27,14 @@
     def changed(self, config: bool, records: bool) -> None: ...
     def report(self) -> tuple[Any, ...]: ...
     def relay(self, message: ops.Message) -> bool: ...
+    def beg(self, message: ops.Message) -> None: ...
 
 
 class _Claim:
-    __slots__ = ("ident", "body", "deadline", "done", "sent", "to")
+    __slots__ = ("ident", "body", "done", "sent", "to")
 
-    def __init__(self, ident: int, body: tuple[Any, ...], deadline: float, done: Claimed) -> None:
-        self.ident, self.body, self.deadline, self.done = ident, body, deadline, done
+    def __init__(self, ident: int, body: tuple[Any, ...], done: Claimed) -> None:
+        self.ident, self.body, self.done = ident, body, done
         self.sent, self.to = 0.0, ""
 
 
@@ -108,6 +110,7 @@
         records = whole or bool(changed) or bool(dropped)
         if records:
             self.views.take(ip, whole, [Record(*row) for row in changed], list(dropped))
+            self.views.forget(PEER)
         if term >= self.term and leader:
             self.term, self.leader = term, leader
         if fresh:
@@ -119,11 +122,24 @@
         if self.claims:
             self._send_claims()
 
+    def fed(self, message: ops.Message) -> None:
+        """What another vise knows, while no forge can be reached from here."""
+        _, delta, records = message
+        if self.reachable():
+            return
+        before = self.replica.index
+        if delta is not None:
+            self.replica.merge(delta)
+        self.views.take(PEER, True, [Record(*row) for row in records], [])
+        self.host.changed(self.replica.index > before, True)
+
     # Reports --------------------------------------------------------------------------------------
 
     def _report(self) -> None:
         self.reporter = self.loop.call_later(REPORT_EVERY, self._report)
         self.report()
+        if not self.reachable():
+            self.host.beg((ops.BEG, self.replica.index))
 
     def report(self) -> None:
         """Tells all forges now."""
@@ -139,11 +155,17 @@
 
     def claim(self, body: tuple[Any, ...], deadline: float, done: Claimed) -> None:
         """`done` is called once: with whose the key is, or NO_LEADER where nobody could say by `deadline`."""
-        claim = _Claim(self.next, body, deadline, done)
+        claim = _Claim(self.next, body, done)
         self.next += 1
         self.claims[claim.ident] = claim
+        self.loop.call_at(deadline, self._late, claim.ident)
         self._send(claim)
 
+    def _late(self, ident: int) -> None:
+        claim = self.claims.pop(ident, None)
+        if claim is not None:
+            claim.done(NO_LEADER, "", b"", b"")
+
     def _send(self, claim: _Claim) -> None:
         now = self.loop.time()
         message = (ops.CLAIM, claim.ident, *claim.body)
@@ -181,10 +203,6 @@
 
     def _sweep(self) -> None:
         self.sweeper = self.loop.call_later(SWEEP, self._sweep)
-        now = self.loop.time()
-        for claim in [c for c in self.claims.values() if c.deadline <= now]:
-            del self.claims[claim.ident]
-            claim.done(NO_LEADER, "", b"", b"")
         if self.claims:
             self._send_claims()
 
--- a/minthitch/vise/program.py
+++ b/minthitch/vise/program.py
@@ -26,6 +26,16 @@
 BACKLOG = 256
 
 
+def needed(boot: Boot) -> Boot:
+    """Raises BadSettings where a vise can't do without what is missing."""
+    for key, value in (("Self.Upstream", boot.own.upstream), ("Self.Svc", boot.own.svc),
+                       ("Net.Bind.Out", boot.net.bind.out), ("Net.Bind.Readyz", boot.net.bind.readyz),
+                       ("Net.Bind.Ctl", boot.net.bind.ctl)):
+        if not value:
+            raise BadSettings(key, "", "is missing")
+    return boot
+
+
 async def serve(boot: Boot) -> int:
     """Serves until SIGTERM has been answered. Gives the exit code."""
     loop = asyncio.get_running_loop()
@@ -68,7 +78,7 @@
     """Exit codes: 0 after SIGTERM, 1 for an address that can't be had, 2 for settings that can't be used."""
     open_log()
     try:
-        boot = load()
+        boot = needed(load())
     except BadSettings as err:
         say(Event.SETTINGS, key=err.key, value=err.value, why=err.why)
         return 2
--- a/minthitch/vise/trip.py
+++ b/minthitch/vise/trip.py
@@ -93,8 +93,10 @@
             self._send(True)
 
     def settle(self, status: int, fields: Fields, body: bytes) -> None:
-        """A repeat's answer: the first one's."""
-        self._respond(status, fields, body)
+        """A repeat's answer: the first one's, under the id of this try."""
+        own = tuple((name, self.identity if name.lower() == b"x-request-id" else value)
+                    for name, value in fields)
+        self._respond(status, own, body)
         self._close()
 
     def fail(self, kind: ErrorKind) -> None:
--- /dev/null
+++ b/rigs/meshdemo/play.py
@@ -0,0 +1,254 @@
+"""The demo's course: start, first configuration, load, a change, forges killed and started again, the end."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import tempfile
+from collections import Counter
+from pathlib import Path
+
+from rigs.meshdemo import load, machines, operator
+from rigs.meshdemo.machines import PORTS, Machine
+from rigs.meshdemo.servers import HOST, Server
+from rigs.meshdemo.wire import Door, request
+
+SECONDS = 8.5  # of load
+CHANGE_AT, KILL_AT, AWAY = 1.5, 3.5, 2.0  # seconds of the load; how long the killed forge is gone
+AROUND = 2.0  # seconds after the kill that are told apart
+DRAIN = 0.3  # seconds a server serves on once it drains
+LOOK = 0.003  # seconds between two looks at which configuration is in force
+SERVICES = ("maps", "desk", "desk", "maps")  # beside vises 1 to 4
+SLOTS = 6
+LEADS, FOLLOWS, DISK = "E301", "E302", "E401"
+ROLES = (LEADS, FOLLOWS, "E303")
+DRILLS = ("leader", "follower", "wiped", "power")
+
+
+class Demo:
+    """The mesh and what was found out of it. `wrong` holds what broke a promise."""
+
+    def __init__(self, folder: Path, drill: str) -> None:
+        self.drill, self.loop = drill, asyncio.get_running_loop()
+        net = f"127.{1 + os.getpid() % 250}"  # two demos at a time do not meet
+        seeds = ",".join(f"{net}.10.{number}:{PORTS['ctl']}" for number in (1, 2, 3))
+        self.forges = [machines.forge(number, net, folder, seeds) for number in (1, 2, 3)]
+        self.vises = [machines.vise(number, net, folder, seeds, service)
+                      for number, service in enumerate(SERVICES, 1)]
+        self.servers = [Server(service, number, vise.zone, vise.ip, PORTS, SLOTS)
+                        for number, (vise, service) in enumerate(zip(self.vises, SERVICES, strict=True), 1)]
+        self.operator = operator.Operator([forge.ip for forge in self.forges], PORTS["ctl"])
+        self.doors = [Door(vise.ip, PORTS["out"]) for vise in self.vises]
+        self.load = load.Load(self.doors, seed=os.getpid())
+        self.wrong: list[str] = []
+
+    @property
+    def all(self) -> list[Machine]:
+        return self.forges + self.vises
+
+    async def play(self) -> None:
+        await self._start()
+        load_task = self.loop.create_task(self.load.run(SECONDS))
+        try:
+            began = self.loop.time()
+            await asyncio.sleep(CHANGE_AT)
+            await self._change()
+            await asyncio.sleep(max(began + KILL_AT - self.loop.time(), 0.0))
+            await self._kill()
+            await load_task
+        finally:
+            load_task.cancel()
+        self._tell_load()
+        self._tell_keys()
+        await self._read_back()
+
+    # Start ----------------------------------------------------------------------------------------
+
+    async def _start(self) -> None:
+        began = self.loop.time()
+        for machine in self.all:
+            await machine.start()
+        await machines.until(lambda: self.leader() is not None, "a forge that leads", self.all)
+        for server in self.servers:
+            await server.start()
+        sent = self.loop.time()
+        if not await self.operator.patch(operator.first()):
+            raise RuntimeError(f"the first configuration is not taken: {self.operator.refused}")
+        taken = self.loop.time()
+        for vise in self.vises:
+            await self._ready(vise)
+        print(f"{len(self.forges)} forges, {len(self.vises)} vises, {len(self.servers)} servers: "
+              f"ready after {self.loop.time() - began:.1f} s")
+        print(f"first configuration: acknowledged after {(taken - sent) * 1000:.0f} ms")
+
+    async def _ready(self, vise: Machine) -> None:
+        door = Door(vise.ip, PORTS["readyz"])
+        async with asyncio.timeout(machines.PATIENCE):
+            while await _status(door, "/ready", "ready") != 200:
+                await asyncio.sleep(0.02)
+        door.close()
+
+    def leader(self) -> Machine | None:
+        """Who said so last, of those that run."""
+        leading = (forge for forge in self.forges if forge.runs())
+        return next((forge for forge in leading if forge.last(ROLES).startswith(LEADS)), None)
+
+    # A change -------------------------------------------------------------------------------------
+
+    async def _change(self) -> None:
+        sent = self.loop.time()
+        task = self.loop.create_task(self.operator.patch(operator.change()))
+        seen = await asyncio.gather(*(self._in_force(door, sent) for door in self.doors))
+        if not await task:
+            self.wrong.append(f"the change is not taken: {self.operator.refused}")
+        ms = ", ".join(f"{after * 1000:.0f}" for after in seen)
+        print(f"change: in force at the {len(seen)} vises {ms} ms after it was sent")
+
+    async def _in_force(self, door: Door, sent: float) -> float:
+        async with asyncio.timeout(machines.PATIENCE):
+            while await _status(door, "/news/now", f"look-{id(door)}-{self.loop.time()}") == 404:
+                await asyncio.sleep(LOOK)
+        return self.loop.time() - sent
+
+    # Forges killed --------------------------------------------------------------------------------
+
+    def _victims(self, lead: Machine) -> list[Machine]:
+        if self.drill == "power":
+            return self.forges
+        if self.drill == "follower":
+            return [forge for forge in self.forges if forge is not lead][:1]
+        return [lead]
+
+    async def _kill(self) -> None:
+        lead = self.leader()
+        if lead is None:
+            raise RuntimeError("no forge leads before the kill")
+        lost, at = self._victims(lead), self.loop.time()
+        print(f"SIGKILL to {', '.join(f'{forge.name} (pid {forge.pid})' for forge in lost)}; {lead.name} led")
+        for forge in lost:
+            await forge.kill()
+        if self.drill != "power":
+            await self._agrees(at, lost)
+        await asyncio.sleep(max(at + AWAY - self.loop.time(), 0.0))
+        await self._again(lost)
+        if self.drill == "power":
+            await self._agrees(at, [])
+        await asyncio.sleep(max(at + AROUND - self.loop.time(), 0.0))
+        self._tell_around(at)
+
+    async def _agrees(self, at: float, lost: list[Machine]) -> None:
+        left = [machine for machine in self.all if machine not in lost]
+        await machines.until(lambda: self.leader() is not None, "a forge that leads", left)
+        lead = self.leader()
+        when = lead.said(LEADS, at) if lead is not None else None
+        if lead is not None and when is not None:
+            print(f"  {lead.name} leads {(when - at) * 1000:.0f} ms after the kill")
+
+    async def _again(self, lost: list[Machine]) -> None:
+        again = self.loop.time()
+        for forge in lost:
+            machines.not_first(forge)
+            if self.drill == "wiped":
+                machines.wipe(forge)
+            await forge.start()
+        for forge in lost:
+            await machines.until(lambda forge=forge: _in(forge, again) is not None,  # type: ignore[misc]
+                                 f"{forge.name} back", self.all)
+            after = (_in(forge, again) or again) - again
+            print(f"  {forge.name} started again: {forge.last((DISK,)).partition(' ')[2]}; "
+                  f"{'leads' if forge is self.leader() else 'follows'} after {after * 1000:.0f} ms")
+
+    def _tell_around(self, at: float) -> None:
+        before = at + AROUND
+        ends, slowest = self.load.ends(at, before), self.load.slowest
+        tries = sum(result.tries > 1 for result in self.load.results if at <= result.began < before)
+        print(f"  begun in the {AROUND:.0f} s after the kill: {_told(ends)}; {tries} tried again; slowest "
+              f"with a key {slowest(('pay',), at, before) * 1000:.0f} ms, "
+              f"without {slowest(('tiles', 'trips'), at, before) * 1000:.0f} ms")
+
+    # What came of it ------------------------------------------------------------------------------
+
+    def _tell_load(self) -> None:
+        ends = self.load.ends()
+        photos = sum(r.kind == "photos" and r.end == load.SERVED for r in self.load.results)
+        nested = sum(server.nested for server in self.servers)
+        print(f"all requests: {_told(ends)}; {photos} uploads in chunks, {nested} calls by servers")
+        if self.load.said:
+            print("  single tries that were not served: "
+                  + ", ".join(f"{count} x {what}" for what, count in sorted(self.load.said.items())))
+        if not ends[load.SERVED] or ends[load.FAILED]:
+            self.wrong.append(f"{ends[load.SERVED]} requests served, {ends[load.FAILED]} failed")
+        if self.load.said["another's answer"]:
+            self.wrong.append("a client got another's answer")
+        if strangers := sum(server.strangers for server in self.servers):
+            self.wrong.append(f"{strangers} runs without the name of their caller's service")
+
+    def _tell_keys(self) -> None:
+        runs: Counter[bytes] = Counter()
+        for server in self.servers:
+            runs.update(server.keys)
+        twice, again = sum(count > 1 for count in runs.values()), self.load.again
+        once = sum(count == 1 for count in runs.values())
+        print(f"keys: {self.load.keys} used, {once} run once, {twice} more often; {sum(again.values())} sent "
+              f"again through another vise: {again['same']} got the first one's answer")
+        if twice:
+            self.wrong.append(f"{twice} keys ran more than once")
+        if again["other"]:
+            self.wrong.append(f"{again['other']} repeats got another answer")
+
+    async def _read_back(self) -> None:
+        calls = [operator.first(), operator.change()]
+        good = [operator.same(found, calls) for found in await self.operator.read_back()]
+        print(f"read back: {sum(good)} of {len(good)} forges give what was sent")
+        if not all(good):
+            self.wrong.append("what was read back is not what was sent")
+
+    async def end(self) -> None:
+        """Ends what was started, and nothing else."""
+        await asyncio.gather(*(server.leave(DRAIN) for server in self.servers if server.listener is not None))
+        for server in self.servers:
+            await server.stop()
+        codes = [code for part in (self.vises, self.forges)
+                 for code in await asyncio.gather(*(machine.stop() for machine in part))]
+        for door in self.doors:
+            door.close()
+        self.operator.close()
+        for machine, code in zip(self.vises + self.forges, codes, strict=True):
+            if code:
+                self.wrong.append(f"{machine.name} ended with {code}: {machine.last(('E', 'T'))}")
+
+
+async def _status(door: Door, path: str, ident: str) -> int:
+    """The status of one GET; 0 where there is none."""
+    fields = {"Host": HOST, "X-Request-Id": ident, "X-Deadline-Ms": "900"}
+    try:
+        return (await door.ask(request("GET", path, fields), 1.0)).status
+    except OSError:
+        return 0
+
+
+def _told(ends: Counter[str]) -> str:
+    return ", ".join(f"{ends[end]} {end}" for end in (load.SERVED, load.REFUSED, load.FAILED))
+
+
+def _in(forge: Machine, since: float) -> float | None:
+    """When it first said that it takes part again."""
+    times = [at for event in (LEADS, FOLLOWS) if (at := forge.said(event, since)) is not None]
+    return min(times, default=None)
+
+
+async def main(drill: str, logs: bool) -> int:
+    """Plays the demo. Exit code 1 where a promise was broken."""
+    with tempfile.TemporaryDirectory(prefix="meshdemo-") as folder:
+        demo = Demo(Path(folder), drill)
+        try:
+            await demo.play()
+        except RuntimeError as err:
+            demo.wrong.append(str(err))
+        finally:
+            await demo.end()
+        if logs:
+            for machine in demo.all:
+                print(f"--- {machine.name}", *(f"{at:.3f} {line}" for at, line in machine.lines), sep="\n")
+    print("all processes have ended; " + ("; ".join(demo.wrong) if demo.wrong else "every promise was kept"))
+    return 1 if demo.wrong else 0
--- /dev/null
+++ b/tests/mesh/test_keys.py
@@ -0,0 +1,199 @@
+"""Keyed requests through the real `Keys` of several vises and the forges' real claims, in drawn orders."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import unittest
+from collections.abc import Callable
+from typing import Any
+
+from minthitch.forge.state import CLAIM, State, command
+from minthitch.press.errors import REPLIES, ErrorKind
+from minthitch.stamp.book import Operation
+from minthitch.stamp.claims import Claim, packed
+from minthitch.vise.keys import Keys, hashed
+
+
+class Forges:
+    """Stands for the lines to the forges: each claim is applied, and told, at a drawn moment, or is lost."""
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+
+    def claim(self, body: tuple[Any, ...], deadline: float, done: Callable[..., None]) -> None:
+        key, owner, claim, digest, over = body
+
+        def apply() -> None:
+            self.world.index += 1
+            data = command(CLAIM, packed(key, Claim(owner, claim, digest), over))
+            result = self.world.state.apply(self.world.index, data)
+            lost = self.world.rng.random() < self.world.losses
+            self.world.later(done, *(("no leader", "", b"", b"") if lost else result))
+
+        self.world.later(apply)
+
+
+class Trip:
+    """One try. `runs` is noted at the moment it would be sent."""
+
+    def __init__(self, world: World, keys: Keys, key: bytes) -> None:
+        self.world, self.keys, self.key, self.deadline = world, keys, key, 1e9
+        self.answer: tuple[int, bytes] | None = None
+
+    def give_up_at(self) -> float:
+        return 1e9
+
+    def go(self, operation: Operation) -> None:
+        fate = self.world.rng.choice(("answered", "answered", "not run", "lost"))
+        if fate != "not run":
+            self.world.runs.setdefault(self.key, []).append(b"run %d" % self.world.index)
+        self.world.later(self._end, operation, fate)
+
+    def _end(self, operation: Operation, fate: str) -> None:
+        book = self.keys.book
+        if fate == "answered":
+            body = self.world.runs[self.key][-1]
+            book.answered(operation, 200, (), body)
+            self.settle(200, (), body)
+        elif fate == "not run":
+            book.freed(operation)
+            self.fail(ErrorKind.BUSY)
+        else:
+            book.lost(operation)
+            self.fail(ErrorKind.MAY_HAVE_RUN)
+
+    def settle(self, status: int, fields: Any, body: bytes) -> None:
+        assert self.answer is None, "two answers"
+        self.answer = status, body
+
+    def fail(self, kind: ErrorKind) -> None:
+        assert self.answer is None, "two answers"
+        self.answer = REPLIES[kind].status, b""
+
+
+class World:
+    """Vises, one agreed state, and a heap of what happens next in a drawn order."""
+
+    def __init__(self, seed: int, losses: float = 0.1) -> None:
+        self.rng, self.losses, self.index = random.Random(seed), losses, 0
+        self.state = State()
+        self.todo: list[tuple[Callable[..., None], tuple[Any, ...]]] = []
+        self.runs: dict[bytes, list[bytes]] = {}
+        self.keys = {f"v{n}/1": self._keys(f"v{n}/1") for n in range(3)}
+        self.trips: list[Trip] = []
+
+    def _keys(self, name: str) -> Keys:
+        return Keys(Forges(self), 60.0, name, self._ask)  # type: ignore[arg-type]
+
+    def _ask(self, owner: str, claim: bytes, deadline: float, done: Callable[..., None]) -> None:
+        def ask() -> None:
+            if self.rng.random() < self.losses or owner not in self.keys:
+                self.later(done, None)
+            else:
+                self.keys[owner].asked(1, claim, lambda message: self.later(done, message))
+
+        self.later(ask)
+
+    def later(self, call: Callable[..., None], *args: Any) -> None:
+        self.todo.append((call, args))
+
+    def restart(self, number: int) -> None:
+        """A life that forgot everything."""
+        life = 1 + max(int(name.partition("/")[2]) for name in self.keys)
+        for name in [n for n in self.keys if n.startswith(f"v{number}/")]:
+            del self.keys[name]
+        self.keys[f"v{number}/{life}"] = self._keys(f"v{number}/{life}")
+
+    def play(self, keys: int, tries: int) -> None:
+        for _ in range(tries):
+            if self.rng.random() < 0.05:
+                self.restart(self.rng.randrange(3))
+            key = b"key %d" % self.rng.randrange(keys)
+            trip = Trip(self, self.keys[self.rng.choice(sorted(self.keys))], key)
+            self.trips.append(trip)
+            trip.keys.open(trip, hashed(key), b"digest")
+            for _ in range(self.rng.randrange(6)):
+                self.step()
+        while self.todo:
+            self.step()
+
+    def step(self) -> None:
+        if self.todo:
+            call, args = self.todo.pop(self.rng.randrange(len(self.todo)))
+            call(*args)
+
+    def broken(self) -> list[str]:
+        """What the history breaks."""
+        found = [f"{key!r} ran {len(runs)} times" for key, runs in self.runs.items() if len(runs) > 1]
+        found += [f"{t.key!r}: success {t.answer}" for t in self.trips
+                  if t.answer and t.answer[0] == 200 and t.answer[1] not in self.runs.get(t.key, [])]
+        return found + [f"{t.key!r} without an answer" for t in self.trips if t.answer is None]
+
+
+def play(seed: int, plant: Callable[[World], None] | None = None) -> World:
+    async def inside() -> World:
+        world = World(seed)
+        if plant is not None:
+            plant(world)
+        world.play(keys=4, tries=60)
+        return world
+
+    return asyncio.run(inside())
+
+
+class Drawn(unittest.TestCase):
+    def test_no_key_runs_twice_and_each_try_is_answered_once(self) -> None:
+        served = 0
+        for seed in range(150):
+            world = play(seed)
+            self.assertEqual(world.broken(), [], f"seed {seed}")
+            served += sum(1 for t in world.trips if t.answer and t.answer[0] == 200)
+        self.assertGreater(served, 1_000)
+
+    def _found(self, plant: Callable[[World], None]) -> bool:
+        return any(play(seed, plant).broken() for seed in range(40))
+
+    def test_a_lost_run_told_as_free_is_found(self) -> None:
+        def plant(world: World) -> None:
+            for keys in world.keys.values():
+                keys.book.lost = keys.book.freed  # type: ignore[method-assign]
+
+        self.assertTrue(self._found(plant))
+
+    def test_a_claim_that_anybody_may_take_over_is_found(self) -> None:
+        def plant(world: World) -> None:
+            claims = world.state.claims
+            real = claims.claim
+            claims.claim = lambda key, new, over: real(  # type: ignore[method-assign]
+                key, new, held.claim if (held := claims.find(key)) else over)
+
+        self.assertTrue(self._found(plant))
+
+
+class Named(unittest.TestCase):
+    def test_a_key_that_comes_back_with_another_request_is_turned_away(self) -> None:
+        async def inside() -> tuple[Any, Any]:
+            world = World(1, losses=0.0)
+            first, second = (Trip(world, world.keys[name], b"k") for name in ("v0/1", "v1/1"))
+            first.keys.open(first, hashed(b"k"), b"one")
+            while world.todo:
+                world.step()
+            second.keys.open(second, hashed(b"k"), b"two")
+            while world.todo:
+                world.step()
+            return first.answer, second.answer
+
+        _, second = asyncio.run(inside())
+        self.assertEqual(second, (422, b""))
+
+    def test_the_image_of_the_agreed_state_holds_claims_and_configuration(self) -> None:
+        state, copy = State(), State()
+        state.apply(1, command(CLAIM, packed(b"k" * 16, Claim("v", b"c", b"d"), b"")))
+        copy.load(state.dump())
+        self.assertEqual(copy.apply(2, command(CLAIM, packed(b"k" * 16, Claim("w", b"x", b"d"), b""))),
+                         ("held", "v", b"c", b"d"))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/mesh/test_start.py
@@ -0,0 +1,88 @@
+"""What the two daemons load, and how they refuse to start: one line and an exit code.
+
+Both pay for their memory all day. `ssl`, `subprocess`, `concurrent`, `logging` and what these pull in come
+with asyncio itself, whatever the loop; uvloop, httptools, msgspec, msgpack and lmdb (forge) are the pinned
+libraries. Nothing of people's commands is loaded: no cappa, and with it no rich.
+"""
+
+from __future__ import annotations
+
+import os
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+
+ROOT = Path(__file__).parents[2]
+NODE = {  # the node's, shared: connections and their parsing; the engine's package opens with its core
+    "engine", "engine.attempts", "engine.calls", "engine.clock", "engine.core", "engine.counts",
+    "engine.fields", "engine.fleet", "engine.ports", "engine.stream", "gauge", "gauge.admission",
+    "gauge.budget", "gauge.choice", "gauge.cold", "gauge.evidence", "gauge.gamma", "gauge.known",
+    "gauge.outcomes", "gauge.placing", "gauge.requests", "gauge.servers", "gauge.sets", "interface",
+    "listing", "log", "memory", "net", "net.callers", "net.crowd", "net.uploads", "policy"}
+BOTH = NODE | {
+    "press", "press.boot", "press.calls", "press.errors", "press.items", "pulley", "pulley.line",
+    "pulley.ops", "pulley.pieces", "rack", "rack.table", "scribe", "scribe.events", "spool", "spool.visitors",
+    "stamp"}
+VISE = BOTH | {
+    "clamp", "clamp.budget", "clamp.gate", "net.servers", "press.routes", "spool.upstream", "stamp.book",
+    "vise", "vise.choice", "vise.desks", "vise.front", "vise.gatehouse", "vise.keys", "vise.links",
+    "vise.program", "vise.trip"}
+FORGE = BOTH | {
+    "anvil", "anvil.core", "anvil.log", "anvil.messages", "anvil.peers", "chest", "chest.meta", "chest.store",
+    "chest.writer", "forge", "forge.desk", "forge.hall", "forge.program", "forge.state", "stamp.claims"}
+NEVER = {"argparse", "cappa", "email", "hdrh", "http", "httpx", "multiprocessing", "nose2", "numpy", "plotly",
+         "psycopg", "pytest", "rich", "scipy", "sqlite3", "starlette", "tomllib", "unittest", "urllib"}
+
+
+def loaded(module: str) -> set[str]:
+    run = subprocess.run([sys.executable, "-c", f"import {module}, sys\nprint(*sys.modules)"], cwd=ROOT,
+                         capture_output=True, text=True, check=True)
+    return set(run.stdout.split())
+
+
+def started(program: str, settings: str | None) -> subprocess.CompletedProcess[str]:
+    environ = {key: value for key, value in os.environ.items() if key != "MINTHITCH_BOOT"}
+    if settings is not None:
+        environ["MINTHITCH_BOOT"] = settings
+    return subprocess.run([sys.executable, "-m", f"minthitch.{program}"], cwd=ROOT, env=environ,
+                          capture_output=True, text=True, timeout=60)
+
+
+class Loads(unittest.TestCase):
+    def holds(self, module: str, own: set[str], foreign: set[str]) -> None:
+        found = loaded(module)
+        self.assertEqual({name.partition(".")[2] for name in found if name.startswith("minthitch.")}, own)
+        self.assertEqual({name.partition(".")[0] for name in found} & (NEVER | {"lmdb"}), foreign)
+
+    def test_vise(self) -> None:
+        self.holds("minthitch.vise.program", VISE, set())
+
+    def test_forge(self) -> None:
+        self.holds("minthitch.forge.program", FORGE, {"lmdb"})
+
+    def test_the_nodes_command_line_loads_no_cappa(self) -> None:
+        self.assertFalse(loaded("minthitch.cli.commands") & {"cappa", "lmdb", "minthitch.cli.mesh"})
+
+
+class Refuses(unittest.TestCase):
+    def refused(self, settings: str | None, said: str) -> None:
+        for program in ("vise", "forge"):
+            with self.subTest(program=program, settings=settings):
+                run = started(program, settings)
+                self.assertEqual((run.returncode, run.stdout), (2, ""))
+                self.assertEqual(len(run.stderr.splitlines()), 1, run.stderr)
+                self.assertTrue(run.stderr.startswith("E101 "), run.stderr)
+                self.assertIn(said, run.stderr)
+
+    def test_a_missing_variable_or_file(self) -> None:
+        self.refused(None, "MINTHITCH_BOOT=")
+        self.refused("/nowhere/node.conf", "MINTHITCH_BOOT=/nowhere/node.conf")
+
+    def test_a_bad_file(self) -> None:
+        with tempfile.NamedTemporaryFile("w", suffix=".conf") as file:
+            file.write("Self.Ip=10.1.0\nSelf.Node=n\nSelf.Mclass=core\nSelf.Az=a\nSelf.Region=r\n"
+                       "Net.PortRange=7620,7635\nNet.Seeds=10.1.0.14:8306\n")
+            file.flush()
+            self.refused(file.name, "Self.Ip=10.1.0")
