Calls that a run waits for go first at the gate; a second's own answers are one log line

Inner routes have the same Prio as bookings, and nothing on the wire tells a server's call from a client's.

Ruled out: Prio alone; connections (both come from the same machine); the deadline (it is the parent's).

Change: a vise infers which routes carry calls of its server: those that never came while nothing ran there; they have a rank of their own. E208 counts a vise's own answers by kind and route, one line a second.

--- a/minthitch/vise/front.py
+++ b/minthitch/vise/front.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from minthitch.clamp.budget import Budget
+from minthitch.clamp.nested import Nested
 from minthitch.engine.calls import Rejected
 from minthitch.net.callers import Incoming
 from minthitch.press.boot import Boot
@@ -29,6 +30,8 @@
 
 MOST_SERVER_LINES = 256  # connections to the own server: its slots bound them, this is a guard
 MOST_DEADLINE = 600.0  # seconds: a longer one is cut
+COUNT_FOR = 1.0  # seconds that one line of the log tells of
+COUNTS_SAID = 6  # kinds of answers in one line
 BEGGED = 2  # vises that one without forges asks at a time
 BACK_WHEN_LEAVING = 0.05  # seconds after which one that came too late is to try elsewhere
 Told = Callable[[ops.Message | None], None]
@@ -68,6 +71,7 @@
         self.asks: dict[int, _Ask] = {}
         self.relays: dict[int, tuple[Line, int]] = {}
         self.next = 1
+        self.nested_routes = Nested()
         self.nested = 0.0  # calls of repeated runs that are not charged yet, in parts
         self.peers: dict[str, Peer] = {}
         self.counts: dict[str, int] = {}
@@ -151,7 +155,8 @@
         service = route.choose(self.random.random())
         self.budget(service).request(now)
         self._charge_nested(service, now)
-        trip = Trip(self, visitor, item, route, service, now, left)
+        nested = self.nested_routes.note(route.name, self.gatehouse.gate.running)
+        trip = Trip(self, visitor, item, route, service, now, left, nested)
         self.trips.add(trip)
         self.by_visitor[visitor] = trip
         trip.begin()
@@ -188,8 +193,17 @@
                 bounds.retry_ratio, bounds.retry_slack, bounds.retry_win_s)
         return found
 
-    def refused(self, kind: ErrorKind) -> None:
-        self.counts[kind.value] = self.counts.get(kind.value, 0) + 1
+    def refused(self, kind: ErrorKind, route: str) -> None:
+        """Counts an answer of our own; a second's counts are one line in the log."""
+        if not self.counts:
+            self.loop.call_later(COUNT_FOR, self._say_counts)
+        name = f"{kind.value} on {route}"
+        self.counts[name] = self.counts.get(name, 0) + 1
+
+    def _say_counts(self) -> None:
+        counts, self.counts = self.counts, {}
+        most = sorted(counts.items(), key=lambda item: -item[1])[:COUNTS_SAID]
+        say(Event.REFUSED, kinds=", ".join(f"{number} {name}" for name, number in most))
 
     # Calls to other vises' servers ------------------------------------------------------------------
 
@@ -206,7 +220,7 @@
             attempt.parcel = _WHOLE
             self.loop.call_soon(self.gatehouse.call, "own", self._from_own_gate, message)
             return
-        rank = min(attempt.trip.route.priority, 2)
+        rank = min(attempt.trip.rank, 2)
         self._peer(ip).send(message, rank, lambda parcel: _left(attempt, parcel))
 
     def _from_own_gate(self, message: ops.Message) -> None:
--- a/minthitch/vise/gatehouse.py
+++ b/minthitch/vise/gatehouse.py
@@ -17,6 +17,7 @@
 from minthitch.scribe.events import Event, say
 from minthitch.spool.upstream import NOT_RUN, RAN, Errand, Outcome, Shelf, Upstream
 
+LOWEST = 99  # a rank behind which nobody waits
 LATE = 0.05  # seconds beyond the deadline in which the server's own word on it may still come
 UNREACHED = Status.CONNECT_FAILED.value
 ONCE, REPEAT = 1, 2  # flags of a call: it may not run twice; another copy of it went out before
@@ -144,7 +145,7 @@
 
     def _busy(self, job: Job, why: str, arrived: bool) -> None:
         gate = self.gate
-        job.reply((ops.BUSY, job.ident, why, arrived, gate.running, gate.queued, gate.wait(2)))
+        job.reply((ops.BUSY, job.ident, why, arrived, gate.running, gate.queued, gate.wait(LOWEST)))
 
     def _next(self) -> None:
         starts, late = self.gate.next(self.loop.time()) if self.state == "up" else ([], [])
--- a/minthitch/vise/trip.py
+++ b/minthitch/vise/trip.py
@@ -47,10 +47,10 @@
 
     __slots__ = ("front", "visitor", "token", "item", "route", "service", "began", "deadline", "due",
                  "identity", "fields", "out", "tried", "arrivals", "operation", "answered", "spare",
-                 "timers", "once", "closed", "wait")
+                 "timers", "once", "closed", "wait", "rank")
 
     def __init__(self, front: Front, visitor: Visitor, item: Incoming, route: Route, service: str,
-                 now: float, left: float) -> None:
+                 now: float, left: float, nested: bool) -> None:
         self.front, self.visitor, self.token, self.item = front, visitor, visitor.token, item
         self.route, self.service, self.began = route, service, now
         self.deadline = min(now + min(left, route.timeout), front.last)
@@ -69,6 +69,8 @@
         self.timers: list[asyncio.TimerHandle] = []
         self.once = route.kind != "idempotent"
         self.wait = 0.0
+        # What a run waits for goes first: its slot is held until then, and fails with it.
+        self.rank = 0 if nested else 1 + route.priority
 
     def begin(self) -> None:
         self.timers.append(self.front.loop.call_at(self.deadline, self._out_of_time))
@@ -137,7 +139,7 @@
         flags = (ONCE if self.once else 0) | (REPEAT if repeat else 0)
         item = self.item
         self.front.send(attempt, (
-            ops.CALL, attempt.ident, target.life, self.deadline - now, self.due - now, self.route.priority,
+            ops.CALL, attempt.ident, target.life, self.deadline - now, self.due - now, self.rank,
             flags, item.method, item.target, self.fields, item.body, self.identity, self.front.caller,
             self.route.name))
 
@@ -256,7 +258,7 @@
             low, high = BACK_PART
             pause = max(self.front.random.uniform(low, high) * self.route.goal, BACK_LEAST, self.wait)
             fields.append((b"Retry-After", b"%.3f" % pause))
-        self.front.refused(kind)
+        self.front.refused(kind, self.route.name)
         self._respond(reply.status, tuple(fields), b"")
 
     def _respond(self, status: int, fields: Fields, body: bytes) -> None:
--- a/tests/mesh/test_start.py
+++ b/tests/mesh/test_start.py
@@ -23,7 +23,8 @@
     "pulley.ops", "pulley.pieces", "rack", "rack.table", "scribe", "scribe.events", "spool", "spool.visitors",
     "stamp"}
 VISE = BOTH | {
-    "clamp", "clamp.budget", "clamp.gate", "gauge", "gauge.evidence", "gauge.gamma", "gauge.sets",
+    "clamp", "clamp.budget", "clamp.gate", "clamp.nested", "gauge", "gauge.evidence", "gauge.gamma",
+    "gauge.sets",
     "net.servers", "press.routes", "spool.upstream", "stamp.book",
     "vise", "vise.choice", "vise.desks", "vise.front", "vise.gatehouse", "vise.keys", "vise.links",
     "vise.program", "vise.trip"}
