--- a/minthitch/clamp/nested.py
+++ b/minthitch/clamp/nested.py
@@ -28,3 +28,6 @@
         if route in self.seen or len(self.seen) < MOST:
             self.seen[route] = count
         return count > ENOUGH
+
+    def is_nested(self, route: str) -> bool:
+        return self.seen.get(route, 0) > ENOUGH
--- a/minthitch/cli/mesh.py
+++ b/minthitch/cli/mesh.py
@@ -1,7 +1,8 @@
-"""`mesh`: what its operator asks at a machine, without any process of it. Arguments by cappa."""
+"""`mesh`: what its operator asks of settings, folders and running processes. Arguments by cappa."""
 
 from __future__ import annotations
 
+import http.client
 from collections.abc import Sequence
 from dataclasses import dataclass
 from pathlib import Path
@@ -15,6 +16,7 @@
 from minthitch.config import ConfigError
 from minthitch.press import boot
 
+TIMEOUT = 5.0  # seconds for a running process to say what it knows
 NEEDS = {  # what a process cannot do without, by what it serves
     "sidecar": ("Self.Upstream", "Self.Svc", "Net.Bind.Out", "Net.Bind.Readyz", "Net.Bind.Ctl"),
     "ctl": ("Self.Datadir", "Net.Bind.Ctl"),
@@ -81,6 +83,30 @@
         return 0
 
 
+@dataclass
+class Status:
+    """Ask a running forge or vise what it knows: who leads, what is in force, servers, keys, budgets."""
+
+    address: Annotated[str, cappa.Arg(value_name="IP:PORT", help="its Net.Bind.Ctl")]
+
+    def run(self) -> int:
+        try:
+            ip, port = boot.address(self.address)
+            line = http.client.HTTPConnection(ip, port, timeout=TIMEOUT)
+            line.request("GET", "/Mesh.Status")
+            answer = line.getresponse()
+            text = answer.read()
+            line.close()
+        except ValueError as err:
+            raise ConfigError(f"mesh status {self.address}: {err}") from None
+        except (OSError, http.client.HTTPException) as err:
+            raise ConfigError(f"mesh status {self.address}: {type(err).__name__}: {err}") from None
+        if answer.status != 200:
+            raise ConfigError(f"mesh status {self.address}: answered {answer.status}")
+        print(json.format(text, indent=2).decode())
+        return 0
+
+
 @dataclass
 class Events:
     """Print an event's entry in the catalogue, or all of them in a line each."""
@@ -107,7 +133,7 @@
 class Mesh:
     """Settings files and data folders of the mesh, read and never changed; the catalogue of its events."""
 
-    word: cappa.Subcommands[Check | Verify | Log | Items | Events]
+    word: cappa.Subcommands[Check | Status | Verify | Log | Items | Events]
 
 
 def _check_needs(found: boot.Boot) -> None:
--- a/minthitch/forge/desk.py
+++ b/minthitch/forge/desk.py
@@ -4,6 +4,8 @@
 
 from typing import Any
 
+from msgspec.json import encode
+
 from minthitch.forge.hall import MOST_PATCH, Hall
 from minthitch.net.callers import Incoming
 from minthitch.press.calls import find, methods
@@ -52,6 +54,8 @@
         elif call.handler == "ready":
             fresh = self.hall.core.fresh(self.hall.loop.time())
             visitor.respond(token, 200 if fresh else 503, (), b"")
+        elif call.handler == "status":
+            visitor.respond(token, 200, JSON, encode(self.hall.status()))
         else:  # a beat whose vise is away: the vise is the gate, and hears the next one
             visitor.respond(token, 200, JSON, b"{}")
 
--- a/minthitch/forge/hall.py
+++ b/minthitch/forge/hall.py
@@ -402,6 +402,23 @@
             self.rotated_at = now
             self.propose(ROTATE, b"", lambda result: None)
 
+    def status(self) -> dict[str, Any]:
+        """What this forge knows now, for operators."""
+        core, now = self.core, self.loop.time()
+        since = self.writer.pending_since
+        waits = round(self.clock() - since, 3) if since is not None else 0.0
+        return {
+            "forge": core.me, "role": core.role, "term": core.term, "leader": core.leader or "",
+            "voters": list(core.voters), "knows_newest": self._knows_newest(now),
+            "log": {"last": core.last_index, "agreed": core.commit, "applied": core.applied},
+            "disk": {"bad": self.bad, "waits_s": waits},
+            "configuration": {"index": self.state.items.index},
+            "keys": {"claimed": self.state.claims.count(), "rotated_at": self.state.rotated},
+            "waiting": len(self.waiting) + len(self.forwarded),
+            "vises": [{"ip": r.ip, "service": r.service, "zone": r.zone, "server": r.life, "state": r.state,
+                       "serving": r.serving} for r in self.rack.records.values()],
+        }
+
     def patch(self, body: bytes, done: Result) -> None:
         self.propose(CONFIG, body, done)
 
--- a/minthitch/press/calls.py
+++ b/minthitch/press/calls.py
@@ -25,6 +25,7 @@
     Call("leave", b"POST", b"/Instances.Deregister/{}", "leave"),
     Call("patch", b"POST", b"/Config.Patch", "patch"),
     Call("fetch", b"GET", b"/Config.Fetch", "fetch"),
+    Call("status", b"GET", b"/Mesh.Status", "status"),  # ours: what this process knows, for its operators
 )
 
 
--- a/minthitch/stamp/claims.py
+++ b/minthitch/stamp/claims.py
@@ -10,7 +10,7 @@
 
 import msgpack
 
-MOST = 400_000  # claims held: some 80 MB; past it none is granted, which refuses and loses nothing
+MOST = 150_000  # claims held, some 60 MB; past it none is granted, which refuses and loses nothing
 
 
 class Claim(NamedTuple):
--- a/minthitch/vise/desks.py
+++ b/minthitch/vise/desks.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from msgspec.json import encode
+
 from minthitch.net.callers import Incoming
 from minthitch.press.calls import find, methods
 from minthitch.press.errors import REPLIES, ErrorKind
@@ -41,6 +43,9 @@
             visitor.respond(visitor.token, REPLIES[kind].status, (), b"")
             return
         call, ident = found
+        if call.handler == "status":
+            visitor.respond(visitor.token, 200, JSON, encode(self.front.status()))
+            return
         status = 404
         if call.handler == "ready":
             status = 200 if self.front.ready() else 503
--- a/minthitch/vise/front.py
+++ b/minthitch/vise/front.py
@@ -18,7 +18,6 @@
 from minthitch.press.routes import Table
 from minthitch.pulley import ops
 from minthitch.pulley.line import Line
-from minthitch.rack.table import Record
 from minthitch.scribe.events import Event, say
 from minthitch.spool.upstream import Shelf
 from minthitch.spool.visitors import Visitor
@@ -387,8 +386,24 @@
     def open(self) -> int:
         return len(self.trips) + len(self.gatehouse.jobs)
 
-    def record_of(self, ip: str) -> Record | None:
-        return self.forges.views.merged.get(ip)
+    def status(self) -> dict[str, Any]:
+        """What this vise knows and does now, for operators."""
+        now, gate = self.loop.time(), self.gatehouse.gate
+        states: dict[str, int] = {}
+        for operation in self.keys.book.held.values():
+            states[operation.state] = states.get(operation.state, 0) + 1
+        return {
+            "vise": self.name, "ready": self.ready(), "leaving": self.leaving,
+            "configuration": {"index": self.forges.replica.index},
+            "forges": {"leader": self.forges.leader, "term": self.forges.term,
+                       "lines": {ip: rope.up for ip, rope in self.forges.ropes.items()}},
+            "server": {"life": self.gatehouse.life, "state": self.gatehouse.state, "slots": gate.slots,
+                       "running": gate.running, "queued": gate.queued, "mean_s": round(gate.mean, 4)},
+            "services": {name: {"servers": len(held), "budget_left": self.budget(name).left(now, self.nodes)}
+                         for name, held in self.choice.targets.items()},
+            "keys": states, "open": len(self.trips), "nodes": self.nodes,
+            "nested_routes": [name for name in self.nested_routes.seen if self.nested_routes.is_nested(name)],
+        }
 
     def close(self) -> None:
         self.forges.close()
--- a/tests/mesh/test_cli.py
+++ b/tests/mesh/test_cli.py
@@ -6,7 +6,9 @@
 import io
 import json
 import shutil
+import socket
 import tempfile
+import threading
 import unittest
 from pathlib import Path
 
@@ -179,3 +181,31 @@
     def test_an_event(self) -> None:
         self.assertEqual(said("events", "E303"), said("events", "303"))
         self.assertIn("E303 warning: no leader in term {term}\n  when: ", said("events", "303")[1])
+
+
+class Status(unittest.TestCase):
+    def ask(self, reply: bytes) -> tuple[int, str, str]:
+        """`mesh status` at a process that answers one call so."""
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            def serve() -> None:
+                line, _ = listener.accept()
+                with line:
+                    self.asked = line.recv(4096)
+                    line.sendall(reply)
+
+            server = threading.Thread(target=serve)
+            server.start()
+            found = said("status", f"127.0.0.1:{listener.getsockname()[1]}")
+            server.join(5)
+        return found
+
+    def test_what_a_running_process_knows_is_printed_and_what_is_no_answer_is_one_line(self) -> None:
+        body = b'{"role":"leader"}'
+        head = b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: %d\r\n\r\n" % len(body)
+        code, out, _ = self.ask(head + body)
+        self.assertEqual((code, json.loads(out)), (0, {"role": "leader"}))
+        self.assertTrue(self.asked.startswith(b"GET /Mesh.Status HTTP/1.1"))
+        unknown = b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"
+        for found in (self.ask(unknown), self.ask(b"rubbish\r\n"), said("status", "nowhere"),
+                      said("status", "127.0.0.1:1")):
+            self.assertEqual((found[0], found[2].count("\n")), (2, 1), found)
