--- a/tests/mesh/test_gatehouse.py
+++ b/tests/mesh/test_gatehouse.py
@@ -3,15 +3,20 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import unittest
+from types import SimpleNamespace
 from typing import Any
 
 import msgspec
 
+from minthitch.net.callers import Incoming
+from minthitch.press.routes import Route
 from minthitch.pulley import ops
 from minthitch.spool.upstream import NOT_RUN, RAN, UNKNOWN, Errand, Outcome
 from minthitch.interface import Status
 from minthitch.vise.gatehouse import ONCE, Gatehouse
+from minthitch.vise.trip import Trip
 
 
 class Shelf:
@@ -99,6 +104,28 @@
         self.assertEqual([e.status for e in self.shelf.errands], [None, Status.CANCELLED])
         self.assertEqual((self.gatehouse.gate.running, self.gatehouse.gate.queued), (1, 0))
 
+    async def test_a_cancel_that_crosses_its_answer_changes_nothing_and_one_before_it_ends_it(self) -> None:
+        self.call(1)
+        self.shelf.errands[0].finish(Status.OK, Outcome(RAN, 200))
+        self.gatehouse.cancel("line", 1)
+        self.call(2)
+        self.gatehouse.cancel("line", 2)
+        self.shelf.errands[1].finish(Status.OK, Outcome(RAN, 200))
+        self.assertEqual(self.kinds(), [(ops.ANSWER, 1)])
+        self.assertEqual((self.shelf.errands[1].status, self.gatehouse.gate.running), (Status.CANCELLED, 0))
+
+
+class Passed(unittest.TestCase):
+    def test_what_a_client_says_of_caller_deadline_and_target_is_not_passed_on(self) -> None:
+        item = Incoming()
+        item.head = [(b"X-Request-Id", b"1"), (b"x-caller-service", b"forged"), (b"X-Deadline-Ms", b"9"),
+                     (b"X-Target-Instance", b"i"), (b"X-Mine", b"gone"), (b"Accept", b"*/*")]
+        item.fields = {b"x-request-id": b"1", b"connection": b"close, X-Mine"}
+        front: Any = SimpleNamespace(last=math.inf)
+        visitor: Any = SimpleNamespace(token=1)
+        trip = Trip(front, visitor, item, Route("r", "idempotent", 1.0, 0.5, 1, 2, ()), "s", 0.0, 1.0, False)
+        self.assertEqual(trip.fields, ((b"X-Request-Id", b"1"), (b"Accept", b"*/*")))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/mesh/test_http.py
+++ b/tests/mesh/test_http.py
@@ -13,6 +13,7 @@
 
 
 SEAL = b"X-Server-Seal: s\r\n"
+CUT = b"cut:"  # in front of a reply after which the connection ends
 Reply = bytes | tuple[bytes, bytes] | None  # None: closes; two: the second when the first is passed
 
 
@@ -41,7 +42,9 @@
                     while self.shelf and not any(vars(c).get("strays") for c in self.shelf.opened):
                         await asyncio.sleep(0)
                     reply = reply[1]
-                writer.write(reply)
+                writer.write(reply.removeprefix(CUT))
+                if reply.startswith(CUT):
+                    break
         except (asyncio.IncompleteReadError, ConnectionError, IndexError):
             pass
         writer.close()
@@ -85,6 +88,13 @@
         self.assertEqual(await self.kinds(answer(b"1", b"", 503, b"")), RAN)
         self.assertEqual(await self.kinds(None), UNKNOWN)
 
+    async def test_an_answer_cut_short_never_counts_as_whole_and_a_close_after_a_whole_one_does(self) -> None:
+        self.assertEqual(await self.kinds(CUT + answer(b"1")[:-1]), UNKNOWN)
+        self.assertEqual(await self.kinds(CUT + answer(b"1")), RAN)
+        closing = answer(b"1", more=SEAL + b"Connection: close\r\n")
+        outcomes, server = await self.ask(closing, answer(b"2"), asked=2)
+        self.assertEqual(([o.kind for o in outcomes], server.lines), ([RAN, RAN], 2))
+
     async def test_spoilt_answers_are_unknown(self) -> None:
         for reply in (answer(b"1", more=b""), b"rubbish\r\n\r\n",
                       answer(b"9", more=SEAL + b"Connection: close\r\n"),
