--- a/minthitch/stamp/claims.py
+++ b/minthitch/stamp/claims.py
@@ -44,8 +44,6 @@
                 table.pop(key, None)
             self.generations[0][key] = new
             return new
-        if held.claim != new.claim:
-            return held
         return held
 
     def rotate(self) -> None:
--- a/minthitch/vise/keys.py
+++ b/minthitch/vise/keys.py
@@ -6,7 +6,7 @@
 import os
 from collections.abc import Callable
 from hashlib import blake2b
-from typing import Any, Protocol
+from typing import Protocol
 
 from minthitch.press.errors import ErrorKind
 from minthitch.pulley import ops
@@ -128,6 +128,3 @@
 def digest_of(method: bytes, target: bytes, body: bytes) -> bytes:
     """What was asked, in 8 bytes."""
     return hashed(method + b" " + target + b"\0" + body, 8)
-
-
-Told = Callable[[Any], None]
