--- a/minthitch/forge/program.py
+++ b/minthitch/forge/program.py
@@ -3,17 +3,15 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import signal
 
-import uvloop
-
 from minthitch.chest.store import ChestBroken, ChestFull
 from minthitch.forge.desk import Desk
 from minthitch.forge.hall import Hall
-from minthitch.press.boot import BadSettings, Boot, load
+from minthitch.press.boot import Boot
 from minthitch.pulley.line import Line
-from minthitch.scribe.events import Event, open_log, say
+from minthitch.scribe.events import Event, say
+from minthitch.spool.start import run
 from minthitch.spool.visitors import Porch
 
 MOST_VISITORS = 512
@@ -22,12 +20,9 @@
 LAST_WORDS = 0.3  # seconds in which answers under way still go out
 
 
-def needed(boot: Boot) -> Boot:
-    """Raises BadSettings where a forge can't do without what is missing."""
-    for key, value in (("Self.Datadir", boot.own.datadir), ("Net.Bind.Ctl", boot.net.bind.ctl)):
-        if not value:
-            raise BadSettings(key, "", "is missing")
-    return boot
+def needs(boot: Boot) -> tuple[tuple[str, str], ...]:
+    """What a forge can't do without, by key."""
+    return (("Self.Datadir", boot.own.datadir), ("Net.Bind.Ctl", boot.net.bind.ctl))
 
 
 async def serve(boot: Boot) -> int:
@@ -64,11 +59,4 @@
 
 def main() -> int:
     """Exit codes: 0 after SIGTERM, 1 for an address, 2 for settings, 3 for a disk that can't be used."""
-    open_log()
-    try:
-        boot = needed(load())
-    except BadSettings as err:
-        say(Event.SETTINGS, key=err.key, value=err.value, why=err.why)
-        return 2
-    code = uvloop.run(serve(boot))
-    os._exit(code)  # nothing is left to be written; the interpreter's own end takes its time
+    return run(serve, needs)
--- /dev/null
+++ b/minthitch/spool/start.py
@@ -0,0 +1,28 @@
+"""How both daemons begin and end: settings, what they can't do without, the loop, the exit code."""
+
+from __future__ import annotations
+
+import os
+from collections.abc import Callable, Coroutine, Iterable
+from typing import Any
+
+import uvloop
+
+from minthitch.press.boot import BadSettings, Boot, load
+from minthitch.scribe.events import Event, open_log, say
+
+
+def run(serve: Callable[[Boot], Coroutine[Any, Any, int]],
+        needs: Callable[[Boot], Iterable[tuple[str, str]]]) -> int:
+    """Gives 2 for settings that can't be used, `needs` (key, value) too; else ends with `serve`'s code."""
+    open_log()
+    try:
+        boot = load()
+        for key, value in needs(boot):
+            if not value:
+                raise BadSettings(key, "", "is missing")
+    except BadSettings as err:
+        say(Event.SETTINGS, key=err.key, value=err.value, why=err.why)
+        return 2
+    code = uvloop.run(serve(boot))
+    os._exit(code)  # nothing is left to be written; the interpreter's own end takes its time
--- a/minthitch/vise/program.py
+++ b/minthitch/vise/program.py
@@ -3,15 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import signal
 import time
 
-import uvloop
-
-from minthitch.press.boot import BadSettings, Boot, load
+from minthitch.press.boot import Boot
 from minthitch.pulley.line import Line
-from minthitch.scribe.events import Event, open_log, say
+from minthitch.scribe.events import Event, say
+from minthitch.spool.start import run
 from minthitch.spool.visitors import Porch
 from minthitch.vise.desks import Counter
 from minthitch.vise.front import Front
@@ -26,14 +24,11 @@
 BACKLOG = 256
 
 
-def needed(boot: Boot) -> Boot:
-    """Raises BadSettings where a vise can't do without what is missing."""
-    for key, value in (("Self.Upstream", boot.own.upstream), ("Self.Svc", boot.own.svc),
-                       ("Net.Bind.Out", boot.net.bind.out), ("Net.Bind.Readyz", boot.net.bind.readyz),
-                       ("Net.Bind.Ctl", boot.net.bind.ctl)):
-        if not value:
-            raise BadSettings(key, "", "is missing")
-    return boot
+def needs(boot: Boot) -> tuple[tuple[str, str], ...]:
+    """What a vise can't do without, by key."""
+    return (("Self.Upstream", boot.own.upstream), ("Self.Svc", boot.own.svc),
+            ("Net.Bind.Out", boot.net.bind.out), ("Net.Bind.Readyz", boot.net.bind.readyz),
+            ("Net.Bind.Ctl", boot.net.bind.ctl))
 
 
 async def serve(boot: Boot) -> int:
@@ -76,11 +71,4 @@
 
 def main() -> int:
     """Exit codes: 0 after SIGTERM, 1 for an address that can't be had, 2 for settings that can't be used."""
-    open_log()
-    try:
-        boot = needed(load())
-    except BadSettings as err:
-        say(Event.SETTINGS, key=err.key, value=err.value, why=err.why)
-        return 2
-    code = uvloop.run(serve(boot))
-    os._exit(code)  # nothing is left to be written; the interpreter's own end takes its time
+    return run(serve, needs)
