The forge's hall is split: proposals, pushes to vises, the other forges; behaviour unchanged

Now: proposals.py (what waits to be agreed, what is handed to the leader), pushes.py (what vises are told), others.py (lines to the other forges, knocking), hall.py (start, the agreement and its disk, messages by word, time).

--- a/minthitch/forge/hall.py
+++ b/minthitch/forge/hall.py
@@ -15,11 +15,14 @@
 from minthitch.anvil.messages import DATA, MEMBERS, Action, Apply, Diverged, Persist, Restore, Send, Timing
 from minthitch.chest.store import Chest, ChestBroken, Kind
 from minthitch.chest.writer import Writer
-from minthitch.forge.state import CLAIM, CONFIG, ROTATE, State, command
+from minthitch.forge.others import Others
+from minthitch.forge.proposals import Proposals, Result, answer
+from minthitch.forge.pushes import Pushes
+from minthitch.forge.state import CLAIM, CONFIG, ROTATE, State
 from minthitch.press.boot import Boot
 from minthitch.pulley import ops
-from minthitch.pulley.line import Line, Rope
-from minthitch.rack.table import Rack, Record
+from minthitch.pulley.line import Line
+from minthitch.rack.table import Rack
 from minthitch.scribe.events import Event, say
 
 TICK = 0.02  # seconds between two looks at the agreement's time
@@ -28,26 +31,14 @@
 HUNG = 0.3  # seconds without an answer of the disk after which it counts as hung
 FULL_FOR = 0.5  # seconds after its last complaint for which a disk counts as full
 KNOCK_EVERY = 0.5  # seconds between two tries of a learner to be taken in
-UNCLEAR = 3.0  # seconds after which a proposal is answered as unclear
 SNAPSHOT_EVERY = 4_000  # entries between two images
 MAP_PART = 0.7  # part of the disk that the file may take
 ROTATE_SLACK = 15.0  # seconds beyond the window before claims grow old: requests take their time too
-MOST_PROPOSED = 20_000  # proposals that wait for their result
 MOST_PATCH = 4 * 1024 * 1024  # bytes of one call of the operator
-Result = Callable[[tuple[Any, ...] | None], None]
 Clock = Callable[[], float]
 MakeWriter = Callable[[Chest, Callable[[int], None], Callable[[str, bool], None], Clock], Writer]
 
 
-class Watcher:
-    """A vise's line, and what it has been told."""
-
-    __slots__ = ("index", "version", "ip")
-
-    def __init__(self) -> None:
-        self.index, self.version, self.ip = -1, 0, ""
-
-
 class Hall:
     """Everything that one forge holds."""
 
@@ -60,15 +51,12 @@
         self.random = random.Random(os.urandom(8))
         self.state, self.rack = State(), Rack()
         self.seeds = tuple(seed.rpartition(":")[0] for seed in boot.net.seeds)
-        self.ropes: dict[str, Rope] = {}
-        self.watchers: dict[Line, Watcher] = {}
-        self.waiting: dict[int, tuple[int, Result, float]] = {}  # index -> term, who waits, since
-        self.forwarded: dict[int, tuple[Result, float]] = {}
-        self.next = 1
-        self.knocked: dict[str, float] = {}  # learners that knock here
+        self.proposals, self.pushes = Proposals(self), Pushes(self, self.rack)
+        self.others = Others(self, self.ip, self.port)
+        self.ropes = self.others.ropes
         self.complaint = -1e9
         self.bad = False
-        self.dirty = self.knew_newest = False
+        self.knew_newest = False
         self.failed: BaseException | None = None
         self.finished = asyncio.Event()
         self.said: tuple[Any, ...] = ()
@@ -79,8 +67,8 @@
         self.core = self._core()
         self.writer = writer(self.chest, self._synced_soon, self._trouble_soon, clock)
         self.writer.start()
-        self._act(self.core.drain())
-        self.know(self.seeds + tuple(member.partition("#")[0] for member in self.core.voters))
+        self.act(self.core.drain())
+        self.others.know(self.seeds + tuple(member.partition("#")[0] for member in self.core.voters))
         self.timers = [self.loop.call_later(TICK, self._tick),
                        self.loop.call_later(PUSH_EVERY, self._push_all),
                        self.loop.call_later(KNOCK_EVERY, self._knock)]
@@ -104,30 +92,23 @@
         wanted = 2 * max(self.boot.terms.tolerate.hw, 1) + 1
         return Core(me, saved, founders, TIMING, self.random.getrandbits(60), now, voters_wanted=wanted)
 
-    def know(self, ips: tuple[str, ...]) -> None:
-        for ip in ips:
-            if ip not in self.ropes and ip != self.ip:
-                rope = Rope(self, (ip, self.port), (ops.HELLO, "forge", self.ip))
-                self.ropes[ip] = rope
-                rope.start()
-
     # The agreement --------------------------------------------------------------------------------
 
     def _tick(self) -> None:
         self.timers[0] = self.loop.call_later(TICK, self._tick)
         now = self.loop.time()
         self._look_at_disk(now)
-        self._act(self.core.tick(now))
+        self.act(self.core.tick(now))
         changed = self._tell_changes(now)
-        if changed or self._knows_newest(now) != self.knew_newest:
-            self.knew_newest = self._knows_newest(now)
-            self.dirty = False
-            self.push(True)  # danger: vises would send claims to the leader before for half a second more
-        elif self.dirty:
-            self.dirty = False
-            self.push(False)
-
-    def _knows_newest(self, now: float) -> bool:
+        if changed or self.knows_newest(now) != self.knew_newest:
+            self.knew_newest = self.knows_newest(now)
+            self.pushes.dirty = False
+            # Danger: vises would send claims to the leader before for half a second more.
+            self.pushes.push(True)
+        else:
+            self.pushes.flush()
+
+    def knows_newest(self, now: float) -> bool:
         """Whether what this forge has applied is what was agreed, and not of a time before a cut."""
         return self.core.fresh(now) and self.core.applied >= self.core.commit > 0
 
@@ -141,7 +122,7 @@
                 say(Event.DISK_SLOW, since=late)
             else:
                 say(Event.DISK_WELL)
-            self._act(self.core.disk_trouble(now, bad))
+            self.act(self.core.disk_trouble(now, bad))
 
     def _tell_changes(self, now: float) -> bool:
         """Says who leads and votes; whether that is news."""
@@ -161,28 +142,21 @@
         self.said = told
         self.led_since = now if leads else None
         self.rotated_at = now
-        self.know(tuple(member.partition("#")[0] for member in core.voters))
-        self._resend()
+        self.others.know(tuple(member.partition("#")[0] for member in core.voters))
+        self.proposals.resend()
         return True
 
-    def _act(self, actions: list[Action]) -> None:
+    def act(self, actions: list[Action]) -> None:
         for action in actions:
             if isinstance(action, Send):
-                self._send(action)
+                self.others.send(action)
             elif isinstance(action, Persist):
                 self.writer.put(action)
             elif isinstance(action, Apply):
                 self._apply(action)
             elif isinstance(action, Restore):
                 self.state.load(action.data)
-                self.dirty = True
-
-    def _send(self, action: Send) -> None:
-        ip = action.to.partition("#")[0]
-        self.know((ip,))
-        rope = self.ropes.get(ip)
-        if rope is not None:
-            rope.send((ops.RAFT, action.to, self.core.me, action.message), 0)
+                self.pushes.dirty = True
 
     def _apply(self, action: Apply) -> None:
         entry = action.entry
@@ -191,29 +165,24 @@
             result = self.state.apply(entry.index, entry.data)
             if result and result[0] in (200, 400, 409):
                 say(Event.PATCHED, index=entry.index, verdict=f"{result[0]} {result[1]}")
-                self.dirty = True
+                self.pushes.dirty = True
         elif entry.kind == MEMBERS:
-            self.dirty = True
-        waiting = self.waiting.pop(entry.index, None)
-        if waiting is not None:
-            term, done, _ = waiting
-            done(result if term == entry.term else None)
+            self.pushes.dirty = True
+        self.proposals.applied(entry, result)
         if entry.index % SNAPSHOT_EVERY == 0:
             image = self.state.dump()
             say(Event.SNAPSHOT, index=entry.index, size=len(image))
             self.loop.call_soon(self._snapshot, entry.index, image)
 
     def _snapshot(self, index: int, image: bytes) -> None:
-        self._act(self.core.snapshot_due(index, image))
+        self.act(self.core.snapshot_due(index, image))
 
     def _synced_soon(self, ticket: int) -> None:
         self.loop.call_soon_threadsafe(self._synced, ticket)
 
     def _synced(self, ticket: int) -> None:
-        self._act(self.core.synced(self.loop.time(), ticket))
-        if self.dirty:
-            self.dirty = False
-            self.push(False)
+        self.act(self.core.synced(self.loop.time(), ticket))
+        self.pushes.flush()
 
     def _trouble_soon(self, why: str, lost: bool) -> None:
         self.loop.call_soon_threadsafe(self._trouble, why, lost)
@@ -231,34 +200,15 @@
 
     # Proposals ------------------------------------------------------------------------------------
 
+    def time(self) -> float:
+        return self.loop.time()
+
     def propose(self, kind: int, data: bytes, done: Result) -> None:
         """`done` is told the result once it is agreed, or None where that is unclear or nobody leads."""
-        if self.core.role != "leader":
-            self._forward(ops.FORWARD, (kind, data), done)
-            return
-        now = self.loop.time()
-        placed = None
-        if len(self.waiting) < MOST_PROPOSED and not self.bad:
-            placed = self.core.propose(now, command(kind, data))
-        self._act(self.core.drain())
-        if placed is None:
-            done(None)
-            return
-        index, term = placed
-        before = self.waiting.pop(index, None)
-        if before is not None:  # its entry was cut off by another leader's: it will never be applied
-            before[1](None)
-        self.waiting[index] = term, done, now
-
-    def _forward(self, op: int, rest: tuple[Any, ...], done: Result) -> None:
-        leader = (self.core.leader or "").partition("#")[0]
-        rope = self.ropes.get(leader)
-        if rope is None or not rope.up or len(self.forwarded) >= MOST_PROPOSED:
-            done(None)
-            return
-        ident, self.next = self.next, self.next + 1
-        self.forwarded[ident] = done, self.loop.time()
-        rope.send((op, ident, *rest), 0)
+        self.proposals.propose(kind, data, done)
+
+    def patch(self, body: bytes, done: Result) -> None:
+        self.propose(CONFIG, body, done)
 
     def fetch(self, done: Result) -> None:
         """The configuration as the leader knows it while it surely leads."""
@@ -268,19 +218,7 @@
             sure = self.core.has_lease(now) and not self.bad
             done((self.state.items.fetch(),) if sure else None)
         else:
-            self._forward(ops.FETCH, (), done)
-
-    def _resend(self) -> None:
-        """Nobody knows any more what became of these: who asked asks again, which does no harm."""
-        lost, self.forwarded = self.forwarded, {}
-        for done, _ in lost.values():
-            done(None)
-
-    def _expire(self, now: float) -> None:
-        for index in [i for i, (_, _, since) in self.waiting.items() if since < now - UNCLEAR]:
-            self.waiting.pop(index)[1](None)
-        for ident in [i for i, (_, since) in self.forwarded.items() if since < now - UNCLEAR]:
-            self.forwarded.pop(ident)[0](None)
+            self.proposals.forward(ops.FETCH, (), done)
 
     # Lines ----------------------------------------------------------------------------------------
 
@@ -293,42 +231,27 @@
     def _heard(self, line: Line, message: ops.Message) -> None:
         op = message[0]
         if op == ops.HELLO:
-            if line.kind == "forge" and line.name in self.ropes:
-                self.ropes[line.name].nudge()
+            if line.kind == "forge":
+                self.others.called(line.name)
         elif op == ops.RAFT:
             if message[1] == self.core.me:  # danger: meant for the disk that was lost
-                self._act(self.core.receive(self.loop.time(), message[2], message[3]))
-                if self.dirty:
-                    self.dirty = False
-                    self.push(False)
+                self.act(self.core.receive(self.loop.time(), message[2], message[3]))
+                self.pushes.flush()
         elif op == ops.REPORT:
-            self._report(line, message)
+            self.pushes.report(line, message)
         elif op == ops.CLAIM:
             self._claim(line, message)
         elif op == ops.FORWARD:
-            self._for_other(line, message)
+            self.proposals.for_other(line, message)
         elif op == ops.FETCH:
             if self.core.role == "leader":
-                self.fetch(lambda result: self._result(line, message[1], result))
+                self.fetch(lambda result: answer(line, message[1], result))
             else:
-                self._result(line, message[1], None)
+                answer(line, message[1], None)
         elif op == ops.RESULT:
-            waiting = self.forwarded.pop(message[1], None)
-            if waiting is not None:
-                waiting[0](message[3] if message[2] else None)
+            self.proposals.heard(message)
         elif op == ops.KNOCK:
-            self._knocked(message[1])
-
-    def _for_other(self, line: Line, message: ops.Message) -> None:
-        _, ident, kind, data = message
-        if self.core.role == "leader":
-            self.propose(kind, data, lambda result: self._result(line, ident, result))
-        else:  # danger: handing it on once more could go in a circle
-            self._result(line, ident, None)
-
-    def _result(self, line: Line, ident: int, result: tuple[Any, ...] | None) -> None:
-        if line.up:
-            line.send((ops.RESULT, ident, result is not None, result), 0)
+            self.others.knocked(message[1])
 
     def _claim(self, line: Line, message: ops.Message) -> None:
         _, ident, key, owner, claim, digest, over = message
@@ -341,62 +264,21 @@
         self.propose(CLAIM, body, done)
 
     def fell(self, line: Line) -> None:
-        self.watchers.pop(line, None)
-
-    # Vises ----------------------------------------------------------------------------------------
-
-    def _report(self, line: Line, message: ops.Message) -> None:
-        record = Record(*message[2:])
-        watcher = self.watchers.get(line)
-        if watcher is None:
-            watcher = self.watchers[line] = Watcher()
-            watcher.ip = record.ip
-        if watcher.index < 0 or message[1] < watcher.index:
-            watcher.index = message[1]
-            self._push(line, watcher)
-        if self.rack.note(self.loop.time(), record):
-            self.push(False)
+        self.pushes.fell(line)
+
+    # Time -----------------------------------------------------------------------------------------
 
     def _push_all(self) -> None:
         self.timers[1] = self.loop.call_later(PUSH_EVERY, self._push_all)
         now = self.loop.time()
         self.rack.sweep(now)
-        self._expire(now)
+        self.proposals.expire(now)
         self._rotate(now)
-        self.push(True)
-
-    def push(self, always: bool) -> None:
-        """Tells each vise what it has not been told; `always`: that this one is still there, too."""
-        for line, watcher in list(self.watchers.items()):
-            if always or watcher.version < self.rack.version or watcher.index < self.state.items.index:
-                self._push(line, watcher)
-
-    def _push(self, line: Line, watcher: Watcher) -> None:
-        core, items = self.core, self.state.items
-        fresh = self._knows_newest(self.loop.time())
-        delta = None
-        if fresh and items.index > watcher.index >= 0:
-            delta = items.since(watcher.index)
-            watcher.index = items.index
-        whole, changed, dropped = self.rack.since(watcher.version)
-        watcher.version = self.rack.version
-        leader = (core.leader or "").partition("#")[0]
-        forges = tuple(member.partition("#")[0] for member in core.voters)
-        line.send((ops.STATE, fresh, core.term, leader, forges, delta, whole and bool(changed),
-                   changed, dropped), 0)
-
-    # Membership and time --------------------------------------------------------------------------
+        self.pushes.push(True)
 
     def _knock(self) -> None:
         self.timers[2] = self.loop.call_later(KNOCK_EVERY, self._knock)
-        if self.core.role == "learner":
-            say(Event.KNOCKED, member=self.core.me)
-            for rope in self.ropes.values():
-                rope.send((ops.KNOCK, self.core.me), 0)
-
-    def _knocked(self, who: str) -> None:
-        self.know((who.partition("#")[0],))
-        self._act(self.core.join(self.loop.time(), who))
+        self.others.knock()
 
     def _rotate(self, now: float) -> None:
         """Danger: claims forgotten too soon run twice; only a leader that saw the whole time may say so."""
@@ -412,19 +294,16 @@
         waits = round(self.clock() - since, 3) if since is not None else 0.0
         return {
             "forge": core.me, "role": core.role, "term": core.term, "leader": core.leader or "",
-            "voters": list(core.voters), "knows_newest": self._knows_newest(now),
+            "voters": list(core.voters), "knows_newest": self.knows_newest(now),
             "log": {"last": core.last_index, "agreed": core.commit, "applied": core.applied},
             "disk": {"bad": self.bad, "waits_s": waits},
             "configuration": {"index": self.state.items.index},
             "keys": {"claimed": self.state.claims.count(), "rotated_at": self.state.rotated},
-            "waiting": len(self.waiting) + len(self.forwarded),
+            "waiting": self.proposals.count(),
             "vises": [{"ip": r.ip, "service": r.service, "zone": r.zone, "server": r.life, "state": r.state,
                        "serving": r.serving} for r in self.rack.records.values()],
         }
 
-    def patch(self, body: bytes, done: Result) -> None:
-        self.propose(CONFIG, body, done)
-
     def close(self) -> None:
         for timer in self.timers:
             timer.cancel()
--- a/tests/mesh/test_start.py
+++ b/tests/mesh/test_start.py
@@ -31,7 +31,8 @@
     "vise.program", "vise.trip"}
 FORGE = BOTH | {
     "anvil", "anvil.core", "anvil.log", "anvil.messages", "anvil.peers", "chest", "chest.meta", "chest.store",
-    "chest.writer", "forge", "forge.desk", "forge.hall", "forge.program", "forge.state", "stamp.claims"}
+    "chest.writer", "forge", "forge.desk", "forge.hall", "forge.others", "forge.program",
+    "forge.proposals", "forge.pushes", "forge.state", "stamp.claims"}
 NEVER = {"argparse", "cappa", "email", "hdrh", "http", "httpx", "multiprocessing", "nose2", "numpy", "plotly",
          "psycopg", "pytest", "rich", "scipy", "sqlite3", "starlette", "tomllib", "unittest", "urllib"}
 
