bench.meshsize: a forge's words, bytes and work at 20, 100 and 1,000 vises, with its tests

The model of rigs/meshlab with whole forges and the forge part of N vises (rigs/meshlab/size.py). Bounds: one word to each vise for one change; its bytes independent of routes and of vises; a start and a replaced service at most a word in 40 ms; 5% of a 0.245 processor at 100 vises at rest; work for each vise at a start not growing with their number.

From its figures: a new vise's first word is gathered too (its whole list is packed once for all that came in 40 ms); a line's beat is written as it is, past the outbox, and taken past msgpack.

Found by the model: a vise that had called nobody yet and lost all forges had no line to another vise and could claim no key (503): it opens lines to two it knows of (Front.beg).

--- /dev/null
+++ b/bench/meshsize.py
@@ -0,0 +1,179 @@
+"""What the control plane costs at size, in the model: `python -m bench.meshsize [--quick]`.
+
+Three whole forges and N vises' lines to them: words, bytes and processor time of a forge at rest, at a start,
+for one server's state, for one item of the configuration, for a service whose servers are all replaced; then
+the pure parts at 10,000. Bytes and words are exact; processor time is this machine's, and judged by ratios.
+"""
+
+from __future__ import annotations
+
+import argparse
+import sys
+import time
+from collections.abc import Callable
+from statistics import median
+from typing import NamedTuple
+
+from minthitch.forge.hall import SURELY
+from minthitch.forge.pushes import GATHER
+from minthitch.rack.table import Rack, Record, Views
+from minthitch.scribe.events import LOG
+from rigs.meshlab.size import SPREAD, Crowd, Used
+
+SIZES, QUICK_SIZES = (20, 100, 1_000), (20, 100)
+FEW, MANY = 10, 2_000  # routes
+WINDOW = SURELY  # seconds looked at: one word to everyone whatever happens falls into each
+LOOKS = 3  # windows at rest, of which the cheapest counts: others' work on this machine only adds
+MEETERS = 2  # vises that open lines to all others
+PURE = 10_000
+SMALL_CORE = 0.245  # of a processor: the smallest machine that a forge is asked to run on
+REST_PART = 0.05  # of it that a forge may use at 100 vises at rest
+LIKE = 1.25  # by how much a figure for each vise may differ that must not depend on size
+WORK_LIKE = 3.0  # the same for processor time, which also grows with caches that no longer hold all
+TOLD_MOST = GATHER + 0.08  # seconds from an acknowledgement to the last vise: gathered, a sync, two ways
+REPLACED_WORDS = SPREAD / GATHER + 4.0  # words to each vise while a service is replaced
+START_WORDS = 2.0 * REPLACED_WORDS  # a word to a new vise, and those of all that come after it
+
+
+class Row(NamedTuple):
+    """One size's figures: of a forge, in the mean of three."""
+
+    vises: int
+    start: Used
+    rest: Used  # a second
+    vise: Used  # a second, of a vise at rest
+    state: Used  # beyond the rest
+    state_told: tuple[float, float]  # median and most seconds
+    change: Used
+    change_told: tuple[float, float]
+    replaced: Used
+    pair: Used  # a second of a vise with a quiet line to every other one, beyond the rest
+
+
+def told(crowd: Crowd) -> tuple[float, float]:
+    delays = crowd.delays()
+    assert len(delays) == len(crowd.told), f"{len(delays)} of {len(crowd.told)} were told"
+    return median(delays), delays[-1]
+
+
+def played(count: int, routes: int = FEW) -> Row:
+    crowd = Crowd(count, routes=routes)
+    crowd.begin()
+    start = crowd.spent()
+    rest = min((crowd.over(WINDOW) for _ in range(LOOKS)), key=lambda used: used.busy)
+    vise = crowd.over(WINDOW, ips=crowd.keepers())
+    state = crowd.over(WINDOW, crowd.drain).less(rest)
+    state_told = told(crowd)
+    change = crowd.over(WINDOW, crowd.change).less(rest)
+    change_told = told(crowd)
+    replaced = crowd.over(WINDOW, lambda: crowd.replace("svc-1", SPREAD)).less(rest)
+    met = crowd.meet(MEETERS)
+    crowd.loop.run_until(crowd.loop.now + WINDOW)
+    pair = crowd.over(WINDOW, ips=met).less(vise).by(WINDOW)
+    crowd.close()
+    assert not crowd.faults, crowd.faults[0]
+    return Row(count, start, rest.by(WINDOW), vise.by(WINDOW), state, state_told, change, change_told,
+               replaced, pair)
+
+
+def pure(count: int) -> tuple[float, float, float]:
+    """Microseconds for one record that changed: at a forge's list, to find it there, at a vise's list."""
+    def record(n: int, seq: int) -> Record:
+        return Record(f"10.{n >> 8}.{n & 255}.1", 7620, 1, seq, "a", "svc", f"life-{seq}", 5, "up", 0.0, True)
+
+    rack, views = Rack(), Views()
+    for n in range(count):
+        rack.note(0.0, record(n, 1))
+    for forge in ("a", "b", "c"):
+        views.take(0.0, forge, True, list(rack.records.values()), [])
+    version = rack.version
+    note = _each(lambda n: rack.note(0.0, record(n, 2)))
+    since = _each(lambda n: rack.since(max(version, rack.version - 1)))
+    take = _each(lambda n: views.take(0.0, "abc"[n % 3], False, [record(n, 2)], []))
+    return note, since, take
+
+
+def _each(work: Callable[[int], object], times: int = 300) -> float:
+    began = time.process_time()
+    for n in range(times):
+        work(n)
+    return (time.process_time() - began) / times * 1e6
+
+
+def show(row: Row) -> None:
+    n = row.vises
+    rest, vise = row.rest, row.vise
+    print(f"{n} vises")
+    print(f"  a forge at rest, a second: {rest.words_out:.0f} words and {rest.beats_out:.0f} beats out, "
+          f"{rest.bytes_in:.0f} bytes in, {rest.bytes_out:.0f} out, "
+          f"{1000 * rest.busy:.1f} ms of processor")
+    print(f"  a vise at rest, a second: {vise.words_out:.1f} words and {vise.beats_out:.1f} beats out, "
+          f"{vise.bytes_out:.0f} bytes out, {1000 * vise.busy:.2f} ms; with a quiet line to every other one "
+          f"{row.pair.words_out + row.pair.beats_out:+.1f} words and beats, {1000 * row.pair.busy:+.2f} ms")
+    print(f"  start within {SPREAD:g} s: {row.start.words_out / n:.1f} words and "
+          f"{row.start.bytes_out / n:.0f} bytes to each, {1000 * row.start.busy / n:.2f} ms for each")
+    for name, used, delays in (("one server's state", row.state, row.state_told),
+                               ("one item of the configuration", row.change, row.change_told)):
+        print(f"  {name}: {used.words_out / n:.2f} words and {used.bytes_out / n:.0f} bytes each; told after "
+              f"{1000 * delays[0]:.0f} ms in the median, {1000 * delays[1]:.0f} at most")
+    print(f"  a service replaced within {SPREAD:g} s: {row.replaced.words_out / n:.1f} words and "
+          f"{row.replaced.bytes_out / n:.0f} bytes to each, {1000 * row.replaced.busy / n:.2f} ms for each")
+
+
+def short(rows: list[Row], many: Row) -> list[str]:
+    """What is out of bounds."""
+    found: list[str] = []
+
+    def check(holds: bool, why: str) -> None:
+        if not holds:
+            found.append(why)
+
+    by = {row.vises: row for row in rows}
+    least = by[100].rest.busy
+    check(least < REST_PART * SMALL_CORE, f"a forge at 100 vises at rest uses {1000 * least:.1f} ms a second")
+    for row in rows:
+        n = row.vises
+        for what, used, delays in (("state", row.state, row.state_told),
+                                   ("item", row.change, row.change_told)):
+            check(used.words_out / n < LIKE, f"one {what} is {used.words_out / n:.2f} words to each of {n}")
+            check(delays[1] < TOLD_MOST, f"one {what} is told to {n} after {delays[1]:.3f} s")
+        words = row.replaced.words_out / n
+        check(words < REPLACED_WORDS, f"a service replaced is {words:.0f} words to each of {n}")
+        words = row.start.words_out / n
+        check(words < START_WORDS, f"a start is {words:.0f} words to each of {n}")
+        check(_alike(row.state.bytes_out / n, rows[0].state.bytes_out / rows[0].vises),
+              f"bytes of a state change differ with the number of vises: {row.state.bytes_out / n:.0f}")
+    for what in ("change", "state"):
+        check(_alike(getattr(many, what).bytes_out, getattr(by[100], what).bytes_out),
+              f"bytes of one {what} differ with the routes")
+    work = [1000 * row.start.busy / row.vises for row in rows if row.vises >= 100]
+    check(work[-1] < WORK_LIKE * work[0], f"a start takes {work[-1]:.2f} ms for each vise, not {work[0]:.2f}")
+    return found
+
+
+def _alike(one: float, other: float) -> bool:
+    return one < other * LIKE and other < one * LIKE
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--quick", action="store_true", help="without 1,000 vises")
+    sizes = QUICK_SIZES if parser.parse_args().quick else SIZES
+    LOG.disabled = True
+    rows = []
+    for size in sizes:
+        rows.append(played(size))
+        show(rows[-1])
+    many = played(100, MANY)
+    print(f"with {MANY} routes,", end=" ")
+    show(many)
+    for count in (100, PURE):
+        note, since, take = pure(count)
+        print(f"one record of {count}: {note:.1f} us to take in, {since:.1f} to find, {take:.1f} at a vise")
+    found = short(rows, many)
+    print("meshsize:", f"short: {found[0]}" if found else "ok")
+    return bool(found)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/minthitch/forge/pushes.py
+++ b/minthitch/forge/pushes.py
@@ -28,12 +28,12 @@
 
 
 class Watcher:
-    """A vise's line, what it has been told, and what it last said of itself."""
+    """A vise's line, what it has been told, and whose it is."""
 
-    __slots__ = ("index", "version", "record")
+    __slots__ = ("index", "version", "ip", "epoch")
 
-    def __init__(self, record: Record) -> None:
-        self.index, self.version, self.record = -1, 0, record
+    def __init__(self, ip: str, epoch: int) -> None:
+        self.index, self.version, self.ip, self.epoch = -1, 0, ip, epoch
 
 
 class Pushes:
@@ -50,12 +50,11 @@
         record = Record(*message[2:])
         watcher = self.watchers.get(line)
         if watcher is None:
-            watcher = self.watchers[line] = Watcher(record)
-        watcher.record = record
-        if watcher.index < 0 or message[1] < watcher.index:
+            watcher = self.watchers[line] = Watcher(record.ip, record.epoch)
+        lacks = watcher.index < 0 or message[1] < watcher.index
+        if lacks:
             watcher.index = message[1]
-            self._push([(line, watcher)])
-        if self.rack.note(self.host.loop.time(), record):
+        if self.rack.note(self.host.loop.time(), record) or lacks:
             self.news()
 
     def fell(self, line: Line) -> None:
@@ -63,12 +62,9 @@
 
     def beat(self) -> None:
         """Lines that are alive say that their vises are; what is silent too long is dropped."""
-        now = self.host.loop.time()
-        news = False
         for line, watcher in self.watchers.items():
-            # Danger: a forge that wakes drops all, and nobody says again what has not changed.
-            news = self.rack.alive(now, line.came, watcher.record) or news
-        if self.rack.sweep(now) or news:
+            self.rack.alive(watcher.ip, watcher.epoch, line.came)
+        if self.rack.sweep(self.host.loop.time()):
             self.news()
 
     def news(self) -> None:
--- a/minthitch/pulley/line.py
+++ b/minthitch/pulley/line.py
@@ -10,12 +10,13 @@
 import msgpack
 
 from minthitch.pulley import ops
-from minthitch.pulley.pieces import Broken, Inbox, Outbox, Parcel
+from minthitch.pulley.pieces import HEAD, Broken, Inbox, Outbox, Parcel
 
 HIGH = 64 * 1024  # bytes handed to the system before the line counts as clogged
 BEAT = 0.5  # seconds without a word after which a line says one
 DEAD = 2.0  # seconds without a word after which a line is given up: cuts are silent
 IDLE_BEAT, IDLE_DEAD = 10.0, 32.0  # the same for a quiet line with nothing open
+BEAT_WORD = HEAD.pack(2, 0, 1) + bytes((0x91, ops.PING))  # a whole piece; no message has the number 0
 OPEN_MOST = 120.0  # seconds after which something open counts no more: its answer was forgotten
 CONNECT = 1.0  # seconds for a connection to come up
 PAUSES = (0.05, 0.1, 0.2, 0.25)  # seconds between two tries: a restart must not be noticed late
@@ -118,6 +119,8 @@
         if self.waits is not None:
             waits, self.waits = self.waits, None
             waits()
+        if data == BEAT_WORD and not self.inbox.rest:
+            return
         try:
             for whole in self.inbox.feed(data):
                 message: Any = msgpack.unpackb(whole, use_list=False, strict_map_key=False)
@@ -150,8 +153,9 @@
         self._sweep_in(beat)
         if now - max(self.came, self.pressed) > dead:
             self.close()
-        elif now - self.said >= beat and not self.clogged:
-            self.send((ops.PING,), 0)
+        elif now - self.said >= beat and not self.clogged and self.transport is not None:
+            self.said = now
+            self.transport.write(BEAT_WORD)
 
     def close(self) -> None:
         if self.transport is not None:
--- a/minthitch/rack/table.py
+++ b/minthitch/rack/table.py
@@ -55,14 +55,11 @@
         self._mark(record.ip)
         return True
 
-    def alive(self, now: float, came: float, record: Record) -> bool:
-        """That vise's line last spoke at `came`, and `record` is what it last said. Whether it is news."""
-        held = self.records.get(record.ip)
-        if held is None:
-            return came >= now - GONE_AFTER and self.note(came, record)
-        if held.epoch == record.epoch:
-            self.heard[record.ip] = max(self.heard[record.ip], came)
-        return False
+    def alive(self, ip: str, epoch: int, came: float) -> None:
+        """The line of that life of a vise last spoke at `came`: it need not repeat what has not changed."""
+        held = self.records.get(ip)
+        if held is not None and held.epoch == epoch:
+            self.heard[ip] = max(self.heard[ip], came)
 
     def _mark(self, ip: str) -> None:
         self.version += 1
--- a/minthitch/vise/front.py
+++ b/minthitch/vise/front.py
@@ -367,6 +367,10 @@
         up = [peer for peer in self.peers.values() if peer.rope.up]
         for peer in self.random.sample(up, min(len(up), BEGGED)):
             peer.rope.send(message, 0)
+        if not up:  # danger: one that has called nobody yet would stay alone, and claim no key
+            known = [ip for ip in self.forges.views.merged if ip != self.boot.own.ip]
+            for ip in self.random.sample(known, min(len(known), BEGGED)):
+                self._peer(ip).rope.start()
 
     def _relay_for(self, line: Line, message: ops.Message) -> None:
         if not self.forges.reachable():
--- a/rigs/meshlab/size.py
+++ b/rigs/meshlab/size.py
@@ -8,17 +8,20 @@
 from __future__ import annotations
 
 import json
+import os
 import time
 from collections import Counter, defaultdict
 from collections.abc import Callable
 from itertools import pairwise
 from statistics import median
 from typing import Any, NamedTuple
+from unittest import mock
 
 from minthitch.forge.hall import Hall
 from minthitch.pulley import ops
+from minthitch.pulley.line import Line
 from minthitch.rack.table import Record, Views
-from minthitch.vise.links import Forges
+from minthitch.vise.links import Forges, Peer
 from rigs.meshlab.history import History
 from rigs.meshlab.loop import VirtualLoop, _Due
 from rigs.meshlab.mesh import FORGES, PORT, ZONES, Forge, Node, Site, zone_of
@@ -107,8 +110,11 @@
         self.crowd, self.service, self.keeps = crowd, service, keeps
         self.seq, self.life, self.state = 0, 1, "up"
         self.forges: Forges | None = None
+        self.peers: list[Peer] = []
+        self.answers, self.losses = 0, list[str]()
 
     def begin(self) -> None:
+        self.crowd.network.listen(self.machine, lambda: Line(self), self.ip, PORT)
         self.forges = Forges(self, PORT, f"{self.ip}/1")
         self.forges.views = _Views(self, self.keeps)
         self.forges.know(FORGES)
@@ -119,6 +125,29 @@
         if self.forges is not None:
             self.crowd.loop.after(0.0, self.machine, self.forges.report)
 
+    def meet(self) -> None:
+        """Asks every other vise something, and keeps the lines."""
+        for other in self.crowd.told:
+            if other is not self:
+                peer = Peer(self, other.ip, PORT, self.ip)
+                peer.send((ops.BEG, 0), 0, lambda parcel: None)
+                self.peers.append(peer)
+
+    # What lines to other vises ask of their host
+
+    def heard(self, line: Line, message: ops.Message) -> None:
+        if message[0] == ops.BEG:
+            line.send((ops.FED, None, ()), 0)
+
+    def fell(self, line: Line) -> None:
+        pass
+
+    def answered(self, peer: Peer, message: ops.Message) -> None:
+        self.answers += 1
+
+    def lost(self, peer: Peer) -> None:
+        self.losses.append(peer.ip)
+
     # What Forges asks of its host
 
     def changed(self, config: bool, records: bool) -> None:
@@ -160,7 +189,8 @@
         """Until all stand and nothing moves."""
         for forge in self.forges:
             self.loop.after(0.0, self.loop.world, forge.start)
-        self.loop.run_until(CONFIGURED)
+        with mock.patch.object(os, "urandom", self.random.randbytes):
+            self.loop.run_until(CONFIGURED)
         self.patch(items(range(self.routes), 1))
         self.loop.run_until(VISES_AT)
         for vise in self.told:
@@ -203,6 +233,12 @@
 
     # Deeds
 
+    def meet(self, count: int) -> tuple[str, ...]:
+        """The last so many vises open a line to every other one."""
+        for vise in self.told[-count:]:
+            self.loop.after(0.0, vise.machine, vise.meet)
+        return tuple(vise.ip for vise in self.told[-count:])
+
     def drain(self) -> None:
         """One server's state."""
         self._become(self.told[:1], "draining", 0.0)
--- /dev/null
+++ b/tests/mesh/test_size.py
@@ -0,0 +1,151 @@
+"""The control plane with many nodes: what is gathered, packed once, said only when new, and still safe."""
+
+from __future__ import annotations
+
+import random
+import unittest
+from collections import Counter
+from unittest import mock
+
+from minthitch.forge import pushes
+from minthitch.forge.pushes import GATHER
+from minthitch.pulley import ops, squeeze
+from minthitch.pulley.pieces import Broken
+from minthitch.rack.table import GONE_AFTER, Rack, Record, Views, newer, told
+from minthitch.scribe.events import LOG
+from minthitch.vise import links
+from minthitch.vise.links import PROBE, Peer, _acted_on
+from rigs.meshlab.mesh import FORGES
+from rigs.meshlab.size import SPREAD, Crowd
+
+COUNT = 40
+WAYS = 0.03  # seconds of the model's two ways and a turn of the loops
+
+
+def record(ip: str, epoch: int, seq: int, state: str = "up", cold: float = 0.0) -> Record:
+    return Record(ip, 1, epoch, seq, "a", "svc", f"{ip}-{epoch}", 4, state, cold, True)
+
+
+class Lists(unittest.TestCase):
+    def test_merging_what_a_word_touches_is_merging_all(self) -> None:
+        for seed in range(30):
+            rng = random.Random(seed)
+            views, news = Views(), Counter[bool]()
+            for step in range(200):
+                before = {ip: told(r) for ip, r in views.merged.items()}
+                forge = rng.choice("abc")
+                if rng.random() < 0.1:
+                    said = views.forget(forge)
+                else:
+                    state = rng.choice(("up", "draining"))
+                    rows = [record(rng.choice("123456"), rng.randrange(2), step, state)
+                            for _ in range(rng.randrange(3))]
+                    gone = [ip for ip in "123456" if rng.random() < 0.1 and all(r.ip != ip for r in rows)]
+                    said = views.take(float(step), forge, rng.random() < 0.1, rows, gone)
+                whole: dict[str, Record] = {}
+                for view in views.views.values():
+                    whole.update({ip: r for ip, r in view.items() if newer(r, whole.get(ip))})
+                self.assertEqual({ip: (r.epoch, r.seq) for ip, r in views.merged.items()},
+                                 {ip: (r.epoch, r.seq) for ip, r in whole.items()})
+                self.assertEqual(said, before != {ip: told(r) for ip, r in whole.items()})
+                news[said] += 1
+            self.assertGreater(min(news[True], news[False]), 10)
+
+    def test_a_live_line_keeps_its_vise_and_no_other_life(self) -> None:
+        rack, old, new = Rack(), record("a", 1, 9), record("a", 2, 1)
+        rack.note(0.0, old)
+        rack.alive("a", 1, GONE_AFTER)
+        self.assertFalse(rack.sweep(GONE_AFTER + 1.0))
+        rack.note(GONE_AFTER + 1.0, new)
+        rack.alive("a", 1, 9.0)  # danger: a line of a life before keeps the one that has died in the list
+        self.assertTrue(rack.sweep(9.0))
+
+    def test_a_server_is_reported_again_once_it_is_warm(self) -> None:
+        self.assertNotEqual(_acted_on(record("a", 1, 1, cold=0.5)), _acted_on(record("a", 1, 2)))
+        self.assertEqual(_acted_on(record("a", 1, 1, cold=0.5)), _acted_on(record("a", 1, 2, cold=0.4)))
+
+    def test_squeezed_bytes_come_back_and_no_more_than_may_be(self) -> None:
+        data = b"\x94" + b"routes are alike " * 1_000
+        self.assertLess(len(squeeze.squeezed(data)), len(data) / 10)
+        self.assertEqual(squeeze.opened(squeeze.squeezed(data)), data)
+        self.assertEqual(squeeze.opened(squeeze.squeezed(data[:100])), data[:100])
+        with mock.patch.object(squeeze, "LONGEST", len(data) - 1), self.assertRaises(Broken):
+            squeeze.opened(squeeze.squeezed(data))
+        with self.assertRaises(Broken):
+            squeeze.opened(squeeze.squeezed(data)[:-9])
+
+
+class Crowded(unittest.TestCase):
+    def setUp(self) -> None:
+        patch = mock.patch.object(LOG, "disabled", True)
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    def crowd(self) -> Crowd:
+        crowd = Crowd(COUNT)
+        crowd.begin()
+        self.addCleanup(crowd.close)
+        self.addCleanup(lambda: self.assertEqual(crowd.faults, []))
+        return crowd
+
+    def listed(self, crowd: Crowd) -> set[int]:
+        return {len(vise.forges.views.merged) for vise in crowd.told if vise.keeps and vise.forges}
+
+
+class Many(Crowded):
+    def test_a_start_of_all_is_no_word_for_each_of_each(self) -> None:
+        crowd = self.crowd()
+        self.assertEqual(self.listed(crowd), {COUNT})
+        gathered = crowd.spent().words_out
+        with mock.patch.object(pushes, "GATHER", 0.0):
+            self.assertGreater(self.crowd().spent().words_out, 1.25 * gathered)
+
+    def test_one_state_is_one_word_each_packed_once_and_at_once(self) -> None:
+        crowd = self.crowd()
+        crowd.loop.run_until(crowd.loop.now + 1.0)
+        with mock.patch.object(Rack, "since", autospec=True, side_effect=Rack.since) as since:
+            crowd.over(0.2, crowd.drain)
+        self.assertLessEqual(since.call_count, 2 * len(FORGES))
+        self.assertEqual(len(crowd.heard), COUNT)
+        self.assertLess(crowd.delays()[-1], WAYS)
+
+    def test_a_drain_among_much_other_news_waits_for_no_more_than_is_gathered(self) -> None:
+        crowd = self.crowd()
+        crowd.replace("svc-1", SPREAD)
+        crowd.loop.run_until(crowd.loop.now + 0.5)
+        crowd.drain()
+        crowd.loop.run_until(crowd.loop.now + 1.0)
+        self.assertEqual(len(crowd.heard), COUNT)
+        self.assertLess(crowd.delays()[-1], GATHER + WAYS)
+
+    def test_who_says_nothing_new_stays_and_who_is_gone_goes(self) -> None:
+        crowd = self.crowd()
+        with mock.patch.object(links, "SURELY", 1e9):
+            crowd.loop.run_until(crowd.loop.now + 2 * GONE_AFTER)
+            self.assertEqual(self.listed(crowd), {COUNT})
+            crowd.told[-1].stop(power=True)
+            crowd.loop.run_until(crowd.loop.now + GONE_AFTER + 1.0)
+        self.assertEqual(self.listed(crowd), {COUNT - 1})
+
+
+class Quiet(Crowded):
+    def test_lines_between_vises_say_nothing_and_a_dead_one_is_found_before_use(self) -> None:
+        crowd = self.crowd()
+        ips = crowd.meet(2)
+        crowd.loop.run_until(crowd.loop.now + 1.0)
+        caller = crowd.told[-1]
+        self.assertEqual((len(ips), caller.answers), (2, COUNT - 1))
+        said = crowd.over(5.0, ips=ips)
+        self.assertLess(said.words_out + said.beats_out, 5.0 * 3 * len(FORGES))
+        live, dead = caller.peers[0], caller.peers[1]
+        crowd.network.cut(caller.ip, dead.ip)
+        left: list[str] = []
+        for peer in (live, dead):
+            crowd.loop.after(0.0, caller.machine, self.ask, peer, left)
+        crowd.loop.run_until(crowd.loop.now + PROBE + 0.1)
+        self.assertEqual((left, caller.answers, caller.losses), ([live.ip], COUNT, [dead.ip]))
+
+    def ask(self, peer: Peer, left: list[str]) -> None:
+        peer.send((ops.BEG, 0), 0, lambda parcel: left.append(peer.ip))
+
+
