--- /dev/null
+++ b/minthitch/vise/copies.py
@@ -0,0 +1,161 @@
+"""The copies that this vise has out, and the lines to the vises beside the servers that got them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
+
+from minthitch.pulley import ops
+from minthitch.scribe.events import Event, say
+from minthitch.vise.choice import Target
+from minthitch.vise.links import Peer
+from minthitch.vise.trip import Attempt, Trip
+
+if TYPE_CHECKING:
+    from minthitch.vise.front import Front
+
+
+class Copies:
+    """Sends copies, and hears what became of each. Tells their trips and the choice."""
+
+    def __init__(self, front: Front) -> None:
+        self.front, self.loop, self.own_ip = front, front.loop, front.boot.own.ip
+        self.attempts: dict[int, Attempt] = {}
+        self.peers: dict[str, Peer] = {}
+        self.next = 1
+
+    def number(self) -> int:
+        """One that no other question of this vise has."""
+        self.next += 1
+        return self.next - 1
+
+    # Out ------------------------------------------------------------------------------------------
+
+    def attempt(self, trip: Trip, target: Target, now: float) -> Attempt:
+        attempt = Attempt(self.number(), trip, target, now)
+        self.attempts[attempt.ident] = attempt
+        self.front.choice.sent(target)
+        return attempt
+
+    def send(self, attempt: Attempt, message: ops.Message) -> None:
+        ip = attempt.target.ip
+        if ip == self.own_ip:
+            attempt.parcel = _WHOLE
+            self.loop.call_soon(self.front.gatehouse.call, "own", self._from_own_gate, message)
+            return
+        rank = min(attempt.trip.rank, 2)
+        self.peer(ip).send(message, rank, lambda parcel: _left(attempt, parcel))
+
+    def _from_own_gate(self, message: ops.Message) -> None:
+        self.loop.call_soon(self.answer, message)
+
+    def peer(self, ip: str) -> Peer:
+        peer = self.peers.get(ip)
+        if peer is None:
+            record = self.front.forges.views.merged.get(ip)
+            port = record.port if record else self.front.port
+            peer = self.peers[ip] = Peer(self, ip, port, self.front.name)
+        return peer
+
+    def up(self) -> list[Peer]:
+        """Those that can be reached."""
+        return [peer for peer in self.peers.values() if peer.rope.up]
+
+    def let_go(self, but: Callable[[str], bool]) -> None:
+        """Ends the lines to all addresses that are gone, and no copy is out at."""
+        busy = {attempt.target.ip for attempt in self.attempts.values()}
+        for ip in [ip for ip in self.peers if ip not in busy and not but(ip)]:
+            self.peers.pop(ip).close()
+
+    def cancel(self, attempt: Attempt) -> None:
+        """Another copy was faster, or nobody waits any more."""
+        if self.attempts.pop(attempt.ident, None) is None:
+            return
+        now, route = self.loop.time(), attempt.trip.route
+        self.front.choice.ended(now, attempt.target, route.name, route.goal, now - attempt.sent,
+                                ok=False, lost=False)
+        if attempt.target.ip == self.own_ip:
+            self.front.gatehouse.cancel("own", attempt.ident)
+            return
+        peer = self.peer(attempt.target.ip)
+        if attempt.parcel is None:  # it has not left: it must not, now
+            peer.pending = [p for p in peer.pending if p[0][1] != attempt.ident]
+        else:
+            attempt.parcel.dropped = True
+            peer.rope.send((ops.CANCEL, attempt.ident), 0)
+
+    # What becomes of them -------------------------------------------------------------------------
+
+    def answered(self, peer: Peer, message: ops.Message) -> None:
+        self.answer(message)
+
+    def answer(self, message: ops.Message) -> None:
+        """Of whichever vise, or the own gate."""
+        op = message[0]
+        if op == ops.TOLD:
+            self.front.asks.told(message)
+        elif op == ops.CLAIMED:
+            self.front.forges.claimed(message)
+        elif op == ops.FED:
+            self.front.forges.fed(message)
+        elif op in (ops.ANSWER, ops.BUSY, ops.LOST):
+            attempt = self.attempts.pop(message[1], None)
+            if attempt is not None:
+                self._ended(attempt, message)
+
+    def _ended(self, attempt: Attempt, message: ops.Message) -> None:
+        now, trip, target, choice = self.loop.time(), attempt.trip, attempt.target, self.front.choice
+        route, took = trip.route, now - attempt.sent
+        attempt.over = True
+        if message[0] == ops.ANSWER:
+            _, _, status, fields, body, running, queued = message
+            choice.told(now, target, running, queued)
+            choice.ended(now, target, route.name, route.goal, took, ok=status < 500, lost=status >= 500)
+            trip.served(attempt, status, fields, body)
+        elif message[0] == ops.BUSY:
+            _, _, why, arrived, running, queued, wait = message
+            choice.told(now, target, running, queued)
+            target.out = max(target.out - 1, 0)
+            choice.shut(now, target, why != "gone")
+            trip.turned_away(attempt, arrived, wait)
+        else:
+            _, _, why, running, queued = message
+            choice.told(now, target, running, queued)
+            choice.ended(now, target, route.name, route.goal, took, ok=False, lost=True)
+            trip.lost(attempt)
+
+    def lost(self, peer: Peer) -> None:
+        """Its line fell, or did not come up."""
+        now, choice = self.loop.time(), self.front.choice
+        fallen = [a for a in self.attempts.values() if a.target.ip == peer.ip]
+        if fallen:
+            say(Event.PEER_DOWN, ip=peer.ip, open=len(fallen))
+        for attempt in fallen:
+            self.attempts.pop(attempt.ident, None)
+            choice.shut(now, attempt.target, False)
+            if attempt.left:
+                route = attempt.trip.route
+                choice.ended(now, attempt.target, route.name, route.goal, now - attempt.sent,
+                             ok=False, lost=True)
+                attempt.trip.lost(attempt)
+            else:
+                attempt.target.out = max(attempt.target.out - 1, 0)
+                attempt.trip.turned_away(attempt, False, 0.0)
+        self.front.asks.lost(peer)
+
+    def close(self) -> None:
+        for peer in self.peers.values():
+            peer.close()
+
+
+class _Whole:
+    """What stands for a parcel where nothing travels."""
+
+    whole, dropped = True, False
+
+
+_WHOLE = _Whole()
+
+
+def _left(attempt: Attempt, parcel: Any) -> None:
+    attempt.parcel = parcel
--- a/minthitch/vise/front.py
+++ b/minthitch/vise/front.py
@@ -1,4 +1,4 @@
-"""The data plane of one vise: its clients' trips, its peers, its gate, the forges, and what is ready."""
+"""The data plane of one vise: its clients' trips, what it tells and is told, and what is ready."""
 
 from __future__ import annotations
 
@@ -6,10 +6,8 @@
 import math
 import random
 import time
-from collections.abc import Callable
 from typing import Any
 
-from minthitch.clamp.budget import Budget
 from minthitch.clamp.nested import Nested
 from minthitch.engine.calls import Rejected
 from minthitch.net.callers import Incoming
@@ -21,28 +19,20 @@
 from minthitch.scribe.events import Event, say
 from minthitch.spool.upstream import Shelf
 from minthitch.spool.visitors import Visitor
-from minthitch.vise.choice import Choice, Target
+from minthitch.vise.asks import Asks, say_on
+from minthitch.vise.choice import Choice
+from minthitch.vise.copies import Copies
 from minthitch.vise.gatehouse import Gatehouse
 from minthitch.vise.keys import Keys, digest_of, hashed
-from minthitch.vise.links import NO_LEADER, Forges, Peer
-from minthitch.vise.trip import Attempt, Trip
+from minthitch.vise.links import Forges
+from minthitch.vise.purse import Purse
+from minthitch.vise.trip import Trip
 
 MOST_SERVER_LINES = 256  # connections to the own server: its slots bound them, this is a guard
 MOST_DEADLINE = 600.0  # seconds: a longer one is cut
 COUNT_FOR = 1.0  # seconds that one line of the log tells of
 COUNTS_SAID = 6  # kinds of answers in one line
-BEGGED = 2  # vises that one without forges asks at a time
 BACK_WHEN_LEAVING = 0.05  # seconds after which one that came too late is to try elsewhere
-Told = Callable[[ops.Message | None], None]
-
-
-class _Ask:
-    """A question to a key's owner."""
-
-    __slots__ = ("done", "peer", "timer")
-
-    def __init__(self, done: Told, peer: Peer, timer: asyncio.TimerHandle) -> None:
-        self.done, self.peer, self.timer = done, peer, timer
 
 
 class Front:
@@ -62,24 +52,18 @@
         self.said_ready = False
         self.table: Table | None = None
         self.choice = Choice(boot.own.az, epoch)
-        self.budgets: dict[str, Budget] = {}
         self.nodes = 1
         self.trips: set[Trip] = set()
         self.by_visitor: dict[Visitor, Trip] = {}
-        self.attempts: dict[int, Attempt] = {}
-        self.asks: dict[int, _Ask] = {}
-        self.relays: dict[int, tuple[Line, int]] = {}
-        self.next = 1
+        self.copies, self.asks = Copies(self), Asks(self)
         self.nested_routes = Nested()
-        self.nested = 0.0  # calls of repeated runs that are not charged yet, in parts
-        self.peers: dict[str, Peer] = {}
         self.counts: dict[str, int] = {}
         shelf = shelf or Shelf(MOST_SERVER_LINES)
         self.gatehouse = Gatehouse(boot.own.upstream, boot.own.svc, shelf, self.tell)
-        name = f"{boot.own.ip}/{epoch}"
-        self.forges = Forges(self, self.port, name)
-        self.keys = Keys(self.forges, boot.terms.bounds.key_win_s, name, self._ask)
-        self.name = name
+        self.purse = Purse(boot.terms.bounds, self.gatehouse)
+        self.name = f"{boot.own.ip}/{epoch}"
+        self.forges = Forges(self, self.port, self.name)
+        self.keys = Keys(self.forges, boot.terms.bounds.key_win_s, self.name, self.asks.ask)
         self.forges.know(tuple(seed.rpartition(":")[0] for seed in boot.net.seeds))
 
     # What others are told -------------------------------------------------------------------------
@@ -110,11 +94,7 @@
         self.choice.listed(self.loop.time(), (
             (r.service, r.life, r.ip, r.zone, r.slots, r.cold) for r in records.values()
             if r.serving and r.state == "up" and r.life))
-        for ip in [ip for ip in self.peers if ip not in records and not self._on(ip)]:
-            self.peers.pop(ip).close()
-
-    def _on(self, ip: str) -> bool:
-        return any(a.target.ip == ip for a in self.attempts.values())
+        self.copies.let_go(lambda ip: ip in records)
 
     def ready(self) -> bool:
         return self.table is not None and self.forges.fresh_seen and not self.leaving
@@ -152,23 +132,13 @@
         waited = (time.monotonic_ns() - item.heard) / 1e9 if item.heard else 0.0
         left = _deadline(item.fields.get(b"x-deadline-ms"), route.timeout) - min(waited, 1.0)
         service = route.choose(self.random.random())
-        self.budget(service).request(now)
-        self._charge_nested(service, now)
+        self.purse.taken(service, now)
         nested = self.nested_routes.note(route.name, self.gatehouse.gate.running)
         trip = Trip(self, visitor, item, route, service, now, left, nested)
         self.trips.add(trip)
         self.by_visitor[visitor] = trip
         trip.begin()
 
-    def _charge_nested(self, service: str, now: float) -> None:
-        """Danger: calls of a repeated run are repeats too, and which run made this one can't be seen."""
-        running = self.gatehouse.gate.running
-        if self.gatehouse.repeats > 0 and running > 0:
-            self.nested += self.gatehouse.repeats / running
-            if self.nested >= 1.0:
-                self.nested -= 1.0
-                self.budget(service).charge(now)
-
     def gone(self, visitor: Visitor) -> None:
         trip = self.by_visitor.pop(visitor, None)
         if trip is not None and not trip.closed and trip.token == visitor.token:
@@ -184,14 +154,6 @@
         self.keys.open(trip, hashed(item.fields[b"x-idempotency-key"]),
                        digest_of(item.method, item.target, item.body))
 
-    def budget(self, service: str) -> Budget:
-        found = self.budgets.get(service)
-        if found is None:
-            bounds = self.boot.terms.bounds
-            found = self.budgets[service] = Budget(
-                bounds.retry_ratio, bounds.retry_slack, bounds.retry_win_s)
-        return found
-
     def refused(self, kind: ErrorKind, route: str) -> None:
         """Counts an answer of our own; a second's counts are one line in the log."""
         if not self.counts:
@@ -204,177 +166,25 @@
         most = sorted(counts.items(), key=lambda item: -item[1])[:COUNTS_SAID]
         say(Event.REFUSED, kinds=", ".join(f"{number} {name}" for name, number in most))
 
-    # Calls to other vises' servers ------------------------------------------------------------------
-
-    def attempt(self, trip: Trip, target: Target, now: float) -> Attempt:
-        attempt = Attempt(self.next, trip, target, now)
-        self.next += 1
-        self.attempts[attempt.ident] = attempt
-        self.choice.sent(target)
-        return attempt
-
-    def send(self, attempt: Attempt, message: ops.Message) -> None:
-        ip = attempt.target.ip
-        if ip == self.boot.own.ip:
-            attempt.parcel = _WHOLE
-            self.loop.call_soon(self.gatehouse.call, "own", self._from_own_gate, message)
-            return
-        rank = min(attempt.trip.rank, 2)
-        self._peer(ip).send(message, rank, lambda parcel: _left(attempt, parcel))
-
-    def _from_own_gate(self, message: ops.Message) -> None:
-        self.loop.call_soon(self._answered, message)
-
-    def _peer(self, ip: str) -> Peer:
-        peer = self.peers.get(ip)
-        if peer is None:
-            record = self.forges.views.merged.get(ip)
-            peer = self.peers[ip] = Peer(self, ip, record.port if record else self.port, self.name)
-        return peer
-
-    def answered(self, peer: Peer, message: ops.Message) -> None:
-        self._answered(message)
-
-    def _answered(self, message: ops.Message) -> None:
-        op = message[0]
-        if op == ops.TOLD:
-            ask = self.asks.pop(message[1], None)
-            if ask is not None:
-                ask.timer.cancel()
-                ask.done(message)
-        elif op == ops.CLAIMED:
-            self.forges.claimed(message)
-        elif op == ops.FED:
-            self.forges.fed(message)
-        elif op in (ops.ANSWER, ops.BUSY, ops.LOST):
-            attempt = self.attempts.pop(message[1], None)
-            if attempt is not None:
-                self._ended(attempt, message)
-
-    def _ended(self, attempt: Attempt, message: ops.Message) -> None:
-        now, trip, target = self.loop.time(), attempt.trip, attempt.target
-        route, took = trip.route, now - attempt.sent
-        attempt.over = True
-        if message[0] == ops.ANSWER:
-            _, _, status, fields, body, running, queued = message
-            self.choice.told(now, target, running, queued)
-            self.choice.ended(now, target, route.name, route.goal, took, ok=status < 500, lost=status >= 500)
-            trip.served(attempt, status, fields, body)
-        elif message[0] == ops.BUSY:
-            _, _, why, arrived, running, queued, wait = message
-            self.choice.told(now, target, running, queued)
-            target.out = max(target.out - 1, 0)
-            self.choice.shut(now, target, why != "gone")
-            trip.turned_away(attempt, arrived, wait)
-        else:
-            _, _, why, running, queued = message
-            self.choice.told(now, target, running, queued)
-            self.choice.ended(now, target, route.name, route.goal, took, ok=False, lost=True)
-            trip.lost(attempt)
-
-    def lost(self, peer: Peer) -> None:
-        """Its line fell, or did not come up."""
-        now = self.loop.time()
-        fallen = [a for a in self.attempts.values() if a.target.ip == peer.ip]
-        if fallen:
-            say(Event.PEER_DOWN, ip=peer.ip, open=len(fallen))
-        for attempt in fallen:
-            self.attempts.pop(attempt.ident, None)
-            self.choice.shut(now, attempt.target, False)
-            if attempt.left:
-                route = attempt.trip.route
-                self.choice.ended(now, attempt.target, route.name, route.goal, now - attempt.sent,
-                                  ok=False, lost=True)
-                attempt.trip.lost(attempt)
-            else:
-                attempt.target.out = max(attempt.target.out - 1, 0)
-                attempt.trip.turned_away(attempt, False, 0.0)
-        for ident in [i for i, ask in self.asks.items() if ask.peer is peer]:
-            ask = self.asks.pop(ident)
-            ask.timer.cancel()
-            ask.done(None)
-
-    def cancel(self, attempt: Attempt) -> None:
-        """Another copy was faster, or nobody waits any more."""
-        if self.attempts.pop(attempt.ident, None) is None:
-            return
-        now, route = self.loop.time(), attempt.trip.route
-        self.choice.ended(now, attempt.target, route.name, route.goal, now - attempt.sent,
-                          ok=False, lost=False)
-        if attempt.target.ip == self.boot.own.ip:
-            self.gatehouse.cancel("own", attempt.ident)
-            return
-        peer = self._peer(attempt.target.ip)
-        if attempt.parcel is None:  # it has not left: it must not, now
-            peer.pending = [p for p in peer.pending if p[0][1] != attempt.ident]
-        else:
-            attempt.parcel.dropped = True
-            peer.rope.send((ops.CANCEL, attempt.ident), 0)
-
-    # Keys at other vises ----------------------------------------------------------------------------
-
-    def _ask(self, owner: str, claim: bytes, deadline: float, done: Told) -> None:
-        ip, _, epoch = owner.partition("/")
-        if ip == self.boot.own.ip:
-            if epoch != str(self.epoch):  # a life of ours before this one: nobody knows what became of it
-                self.loop.call_soon(done, None)
-                return
-            self.keys.asked(0, claim, lambda message: self._told_own(message, done))
-            return
-        ident, self.next = self.next, self.next + 1
-        peer = self._peer(ip)
-        timer = self.loop.call_at(deadline, self._ask_late, ident)
-        self.asks[ident] = _Ask(done, peer, timer)
-        peer.send((ops.ASK, ident, claim), 0, lambda parcel: None)
-
-    def _told_own(self, message: ops.Message, done: Told) -> None:
-        self.loop.call_soon(done, message)
-
-    def _ask_late(self, ident: int) -> None:
-        ask = self.asks.pop(ident, None)
-        if ask is not None:
-            ask.done(None)
-
     # Lines that others opened -----------------------------------------------------------------------
 
     def heard(self, line: Line, message: ops.Message) -> None:
         op = message[0]
         if op == ops.CALL:
-            self.gatehouse.call(line, lambda answer: _say_on(line, answer), message)
+            self.gatehouse.call(line, lambda answer: say_on(line, answer), message)
         elif op == ops.CANCEL:
             self.gatehouse.cancel(line, message[1])
-        elif op == ops.ASK:
-            self.keys.asked(message[1], message[2], lambda answer: _say_on(line, answer))
-        elif op == ops.CLAIM:
-            self._relay_for(line, message)
-        elif op == ops.BEG and self.forges.reachable():
-            delta = self.forges.replica.since(message[1]) if self.forges.replica.index > message[1] else None
-            _say_on(line, (ops.FED, delta, list(self.forges.views.merged.values())))
+        else:
+            self.asks.heard(line, message)
 
     def fell(self, line: Line) -> None:
         self.gatehouse.fell(line)
 
     def relay(self, message: ops.Message) -> bool:
-        """Danger: cut off from all forges, no key could be claimed; another vise hands the claim on."""
-        up = [peer for peer in self.peers.values() if peer.rope.up]
-        if not up:
-            return False
-        self.random.choice(up).rope.send(message, 0)
-        return True
+        return self.asks.relay(message)
 
     def beg(self, message: ops.Message) -> None:
-        """Asks a few of the vises that can be reached."""
-        up = [peer for peer in self.peers.values() if peer.rope.up]
-        for peer in self.random.sample(up, min(len(up), BEGGED)):
-            peer.rope.send(message, 0)
-
-    def _relay_for(self, line: Line, message: ops.Message) -> None:
-        if not self.forges.reachable():
-            _say_on(line, (ops.CLAIMED, message[1], NO_LEADER, "", b"", b""))
-            return
-        ident = message[1]
-        self.forges.claim(message[2:], self.loop.time() + 1.0,
-                          lambda *told: _say_on(line, (ops.CLAIMED, ident, *told)))
+        self.asks.beg(message)
 
     # The end ----------------------------------------------------------------------------------------
 
@@ -399,37 +209,19 @@
                        "lines": {ip: rope.up for ip, rope in self.forges.ropes.items()}},
             "server": {"life": self.gatehouse.life, "state": self.gatehouse.state, "slots": gate.slots,
                        "running": gate.running, "queued": gate.queued, "mean_s": round(gate.mean, 4)},
-            "services": {name: {"servers": len(held), "budget_left": self.budget(name).left(now, self.nodes)}
-                         for name, held in self.choice.targets.items()},
+            "services": {
+                name: {"servers": len(held), "budget_left": self.purse.of(name).left(now, self.nodes)}
+                for name, held in self.choice.targets.items()},
             "keys": states, "open": len(self.trips), "nodes": self.nodes,
             "nested_routes": [name for name in self.nested_routes.seen if self.nested_routes.is_nested(name)],
         }
 
     def close(self) -> None:
         self.forges.close()
-        for peer in self.peers.values():
-            peer.close()
+        self.copies.close()
         self.gatehouse.close()
 
 
-class _Whole:
-    """What stands for a parcel where nothing travels."""
-
-    whole, dropped = True, False
-
-
-_WHOLE = _Whole()
-
-
-def _left(attempt: Attempt, parcel: Any) -> None:
-    attempt.parcel = parcel
-
-
-def _say_on(line: Line, message: ops.Message) -> None:
-    if line.up:
-        line.send(message, 1)
-
-
 def _deadline(value: bytes | None, otherwise: float) -> float:
     """Seconds of X-Deadline-Ms. Raises Rejected."""
     if value is None:
--- a/minthitch/vise/trip.py
+++ b/minthitch/vise/trip.py
@@ -115,7 +115,7 @@
             return
         most = 1
         if first and not self.once:
-            copies = int(front.budget(self.service).left(now, front.nodes))
+            copies = int(front.purse.of(self.service).left(now, front.nodes))
             most = max(1, min(self.route.tries - self.arrivals, 1 + copies, RACE_MOST))
         targets = front.choice.pick(now, self.service, self.route.name, self.route.goal,
                                     self.due - now, most, len(self.item.body), self.tried)
@@ -124,7 +124,7 @@
             return
         for number, target in enumerate(targets):
             repeat = further or number > 0
-            if number > 0 and not front.budget(self.service).spend(now, front.nodes):
+            if number > 0 and not front.purse.of(self.service).spend(now, front.nodes):
                 break
             self._send_to(target, repeat, now)
         if first and not self.once:
@@ -132,13 +132,13 @@
             self.timers.append(front.loop.call_later(overdue, self._overdue))
 
     def _send_to(self, target: Target, repeat: bool, now: float) -> None:
-        attempt = self.front.attempt(self, target, now)
+        attempt = self.front.copies.attempt(self, target, now)
         self.out[attempt.ident] = attempt
         self.tried.add(target.life)
         self.arrivals += 1
         flags = (ONCE if self.once else 0) | (REPEAT if repeat else 0)
         item = self.item
-        self.front.send(attempt, (
+        self.front.copies.send(attempt, (
             ops.CALL, attempt.ident, target.life, self.deadline - now, self.due - now, self.rank,
             flags, item.method, item.target, self.fields, item.body, self.identity, self.front.caller,
             self.route.name))
@@ -156,7 +156,7 @@
             return False
         if all(life in self.tried for life in front.choice.targets.get(self.service, ())):
             return False
-        return front.budget(self.service).spend(now, front.nodes)
+        return front.purse.of(self.service).spend(now, front.nodes)
 
     # Outcomes -------------------------------------------------------------------------------------
 
@@ -194,7 +194,7 @@
             self._stuck(ErrorKind.BUSY)
             return
         # Whether this server counts as an arrival or not, what was turned away unseen is no repeat.
-        if arrived and not self.front.budget(self.service).spend(self.front.loop.time(), self.front.nodes):
+        if arrived and not self.front.purse.of(self.service).spend(self.front.loop.time(), self.front.nodes):
             self._stuck(ErrorKind.BUSY)
             return
         self._send(False, arrived)
@@ -269,7 +269,7 @@
         self.timers.clear()
         out, self.out = self.out, {}
         for attempt in out.values():
-            self.front.cancel(attempt)
+            self.front.copies.cancel(attempt)
         self.front.over(self)
 
     def abandoned(self) -> None:
--- a/tests/mesh/test_start.py
+++ b/tests/mesh/test_start.py
@@ -27,8 +27,8 @@
     "clamp", "clamp.budget", "clamp.gate", "clamp.nested", "gauge", "gauge.evidence", "gauge.gamma",
     "gauge.sets",
     "net.servers", "press.routes", "spool.upstream", "stamp.book",
-    "vise", "vise.choice", "vise.desks", "vise.front", "vise.gatehouse", "vise.keys", "vise.links",
-    "vise.program", "vise.trip"}
+    "vise", "vise.asks", "vise.choice", "vise.copies", "vise.desks", "vise.front", "vise.gatehouse",
+    "vise.keys", "vise.links", "vise.program", "vise.purse", "vise.trip"}
 FORGE = BOTH | {
     "anvil", "anvil.core", "anvil.log", "anvil.messages", "anvil.peers", "chest", "chest.meta", "chest.store",
     "chest.writer", "forge", "forge.desk", "forge.hall", "forge.program", "forge.state", "stamp.claims"}
