Keyed requests are never taken for calls of the own server; a test of repeats not begun

Cause: on a busy vise a route counts as one of its server's calls until a request on it comes while nothing runs, and such requests were charged as calls of repeats. Keyed ones carry a tenant's key, which calls never do. Test: a repeat that waited for longer than its charge is good for, or whose calls could not be paid, is told busy unseen, and its slot goes on.

--- a/minthitch/vise/front.py
+++ b/minthitch/vise/front.py
@@ -139,7 +139,8 @@
         left = _deadline(item.fields.get(b"x-deadline-ms"), route.timeout) - min(waited, 1.0)
         service = route.choose(self.random.random())
         nested = self.nested_routes.note(route.name, self.gatehouse.gate.running)
-        self.purse.taken(service, self.nested_routes.may_be(route.name))
+        # Servers' own calls carry no key.
+        self.purse.taken(service, route.kind != "keyed" and self.nested_routes.may_be(route.name))
         trip = Trip(self, visitor, item, route, service, now, left, nested)
         self.trips.add(trip)
         self.by_visitor[visitor] = trip
--- a/tests/mesh/test_gatehouse.py
+++ b/tests/mesh/test_gatehouse.py
@@ -15,7 +15,7 @@
 from minthitch.pulley import ops
 from minthitch.spool.upstream import NOT_RUN, RAN, UNKNOWN, Errand, Outcome
 from minthitch.interface import Status
-from minthitch.vise.gatehouse import ONCE, Gatehouse
+from minthitch.vise.gatehouse import ONCE, REPEAT, REPEAT_WAITS, Gatehouse
 from minthitch.vise.trip import Trip
 
 
@@ -104,6 +104,18 @@
         self.assertEqual([e.status for e in self.shelf.errands], [None, Status.CANCELLED])
         self.assertEqual((self.gatehouse.gate.running, self.gatehouse.gate.queued), (1, 0))
 
+    async def test_a_repeat_too_old_for_its_charge_or_whose_calls_cannot_be_paid_is_not_begun(self) -> None:
+        self.call(1)
+        self.call(2, flags=REPEAT)
+        self.gatehouse.jobs["line", 2].came -= REPEAT_WAITS + 0.1
+        self.shelf.errands[0].finish(Status.OK, Outcome(RAN, 200))
+        self.gatehouse.may_repeat = lambda: False
+        self.call(3, flags=REPEAT)
+        self.call(4)
+        self.assertEqual(self.kinds(), [(ops.ANSWER, 1), (ops.BUSY, 2), (ops.BUSY, 3)])
+        self.assertEqual([message[3] for message in self.said[1:]], [False, False])
+        self.assertEqual((len(self.shelf.errands), self.gatehouse.gate.running), (2, 1))
+
     async def test_a_cancel_that_crosses_its_answer_changes_nothing_and_one_before_it_ends_it(self) -> None:
         self.call(1)
         self.shelf.errands[0].finish(Status.OK, Outcome(RAN, 200))
