The vise's front split by concern; one budget for all, its slack lent by the leader

Cause of the joins made here: reports now go out only when they say something new and are packed once for all forges, and news are packed once for all vises, so a vise's need of slack and the leader's lease travel in words of their own (NEED, LEND), between a vise and the leader only, twice a second while there is something to ask for or give back. Ruled out: a lease in each STATE (it would be packed for each vise alone). One need more is sent after the last, so that the leader hears at once that nothing is held.

--- a/minthitch/forge/hall.py
+++ b/minthitch/forge/hall.py
@@ -15,6 +15,7 @@
 from minthitch.anvil.messages import DATA, MEMBERS, Action, Apply, Diverged, Persist, Restore, Send, Timing
 from minthitch.chest.store import Chest, ChestBroken, Kind
 from minthitch.chest.writer import Writer
+from minthitch.forge.leases import Leases
 from minthitch.forge.others import Others
 from minthitch.forge.proposals import Proposals, Result, answer
 from minthitch.forge.pushes import Pushes
@@ -66,6 +67,7 @@
         size = int(max(boot.own.limits.disk_mb, 16.0) * MAP_PART) * 1024 * 1024
         self.chest = chest or Chest(boot.own.datadir, size)
         self.core = self._core()
+        self.leases = Leases(boot.terms.bounds, self.core)
         self.writer = writer(self.chest, self._synced_soon, self._trouble_soon, clock)
         self.writer.start()
         self.act(self.core.drain())
@@ -235,6 +237,10 @@
                 self.act(self.core.receive(self.loop.time(), message[2], message[3]))
         elif op == ops.REPORT:
             self.pushes.report(line, message)
+        elif op == ops.NEED:
+            watcher = self.pushes.watchers.get(line)
+            if watcher is not None:
+                self.leases.heard(max(self.loop.time(), self.clock()), watcher, message[1:])
         elif op == ops.CLAIM:
             self._claim(line, message)
         elif op == ops.FORWARD:
@@ -273,6 +279,15 @@
         surely = now - self.told_all >= SURELY
         self.told_all = now if surely else self.told_all
         self.pushes.push(surely)
+        self._lend(max(now, self.clock()))
+
+    def _lend(self, now: float) -> None:
+        """Settles who holds how much of the slack, and tells each vise."""
+        self.leases.share(now)
+        for line, watcher in self.pushes.watchers.items():
+            lease = self.leases.lease(now, watcher)
+            if lease is not None:
+                line.send((ops.LEND, *lease), 0)
 
     def _knock(self) -> None:
         self.timers[2] = self.loop.call_later(KNOCK_EVERY, self._knock)
@@ -297,6 +312,7 @@
             "disk": {"bad": self.bad, "waits_s": waits},
             "configuration": {"index": self.state.items.index},
             "keys": {"claimed": self.state.claims.count(), "rotated_at": self.state.rotated},
+            "slack": self.leases.lender.status(),
             "waiting": self.proposals.count(),
             "vises": [{"ip": r.ip, "service": r.service, "zone": r.zone, "server": r.life, "state": r.state,
                        "serving": r.serving} for r in self.rack.records.values()],
--- a/minthitch/vise/links.py
+++ b/minthitch/vise/links.py
@@ -34,6 +34,9 @@
     def report(self) -> tuple[Any, ...]: ...
     def relay(self, message: ops.Message) -> bool: ...
     def beg(self, message: ops.Message) -> None: ...
+    def need(self) -> tuple[Any, ...] | None: ...
+    def heard_of(self, term: int) -> None: ...
+    def lent(self, lease: tuple[Any, ...]) -> None: ...
 
 
 class _Claim:
@@ -75,7 +78,7 @@
         say(Event.FORGE_UP, ip=ip)
         if rope.line is not None:
             self.by_line[rope.line] = ip
-        rope.send((ops.REPORT, self.replica.index, *self.host.report()), 0)
+        self._report_to(ip)
 
     def fell(self, line: Line) -> None:
         ip = self.by_line.pop(line, "")
@@ -100,6 +103,8 @@
     def heard(self, line: Line, message: ops.Message) -> None:
         if message[0] == ops.STATE:
             self._state(self.by_line.get(line, ""), message)
+        elif message[0] == ops.LEND:
+            self.host.lent(message[1:])
         elif message[0] == ops.CLAIMED:
             self.claimed(message)
 
@@ -122,6 +127,7 @@
         records = self.views.sweep(self.loop.time()) or records
         if term >= self.term and leader:
             self.term, self.leader = term, leader
+        self.host.heard_of(self.term)
         if not fresh:
             self.fresh.pop(ip, None)
         else:
@@ -152,6 +158,7 @@
         said, at = self.reported
         if _acted_on(row) != said or self.loop.time() - at >= SURELY:
             self._tell(row)
+        self._ask_for_slack()
         if not self.reachable():
             self.host.beg((ops.BEG, self.replica.index))
 
@@ -171,6 +178,11 @@
         if rope.up:
             rope.send((ops.REPORT, self.replica.index, *self.host.report()), 0)
 
+    def _ask_for_slack(self) -> None:
+        leader = self.ropes.get(self.leader)
+        if leader is not None and leader.up and (need := self.host.need()) is not None:
+            leader.send((ops.NEED, *need), 0)
+
     # Claims ---------------------------------------------------------------------------------------
 
     def claim(self, body: tuple[Any, ...], deadline: float, done: Claimed) -> None:
--- a/rigs/meshlab/size.py
+++ b/rigs/meshlab/size.py
@@ -119,6 +119,15 @@
         self.forges.views = _Views(self, self.keeps)
         self.forges.know(FORGES)
 
+    def need(self) -> None:
+        """At rest nobody needs any slack."""
+
+    def heard_of(self, term: int) -> None:
+        pass
+
+    def lent(self, lease: object) -> None:
+        pass
+
     def be(self, life: int, state: str) -> None:
         """Its server's new word, told at once."""
         self.life, self.state = life, state
