A dead vise is found in 0.2 s: what may not be repeated asks a silent line before it goes

Ruled out: a shorter TCP_USER_TIMEOUT or line beat (on a choked link it would cut what runs, and make it unknown). Change: a line silent for 0.2 s is asked (11 bytes, one way and back) before it carries what may not be repeated; a call that no line has taken after 0.15 s goes elsewhere and its server is left alone for 0.5 s; a line on which something is open is no longer closed by an unanswered question, as what is open may run and be answered yet. Test: a doubted line in tests/mesh/test_size.py.

--- a/minthitch/vise/copies.py
+++ b/minthitch/vise/copies.py
@@ -44,7 +44,7 @@
             self.loop.call_soon(self.front.gatehouse.call, "own", self._from_own_gate, message)
             return
         rank = min(attempt.trip.rank, 2)
-        self.peer(ip).send(message, rank, lambda parcel: _left(attempt, parcel))
+        self.peer(ip).send(message, rank, lambda parcel: _left(attempt, parcel), attempt.trip.once)
 
     def _from_own_gate(self, message: ops.Message) -> None:
         self.loop.call_soon(self.answer, message)
@@ -140,10 +140,19 @@
                              ok=False, lost=True)
                 attempt.trip.lost(attempt)
             else:
-                attempt.target.out = max(attempt.target.out - 1, 0)
-                attempt.trip.turned_away(attempt, False, 0.0)
+                self._never_left(attempt)
         self.front.asks.lost(peer)
 
+    def unsent(self, idents: list[int]) -> None:
+        """No line took these in time: their servers are left alone for a while."""
+        for attempt in [self.attempts.pop(ident) for ident in idents if ident in self.attempts]:
+            self.front.choice.shut(self.loop.time(), attempt.target, False)
+            self._never_left(attempt)
+
+    def _never_left(self, attempt: Attempt) -> None:
+        attempt.target.out = max(attempt.target.out - 1, 0)
+        attempt.trip.turned_away(attempt, False, 0.0)
+
     def close(self) -> None:
         for peer in self.peers.values():
             peer.close()
--- a/minthitch/vise/links.py
+++ b/minthitch/vise/links.py
@@ -21,8 +21,10 @@
 SWEEP = 0.1  # seconds between two looks at claims
 MOST_FORGES = 64  # forges kept lines to
 Claimed = Callable[[str, str, bytes, bytes], None]  # verdict, owner, claim, digest
-DOUBT = 1.0  # seconds of silence after which a line to another vise is asked before it is used:
-PROBE = 0.5  # what is written to a dead one may have run. Seconds for its answer, then the line is given up
+DOUBT = 1.0  # seconds of silence after which a line to another vise is asked before it is used,
+DOUBT_ONCE = 0.2  # and by what may not be repeated: what is written to a dead one may have run, and is over
+HOLD = 0.15  # seconds that a call waits for a line or for its answer before it is to go elsewhere
+PROBE = 0.5  # seconds for the answer, then a line with nothing open is given up
 PEER = "another vise"  # whose view stands in where no forge can be reached
 GRANTED, HELD, FULL, NO_LEADER = "granted", "held", "full", "no leader"
 
@@ -258,6 +260,7 @@
 
     def answered(self, peer: Peer, message: ops.Message) -> None: ...
     def lost(self, peer: Peer) -> None: ...
+    def unsent(self, idents: list[int]) -> None: ...
 
 
 class Peer:
@@ -269,24 +272,40 @@
         self.rope.on_up, self.rope.on_down = self._up, self._down
         self.loop = asyncio.get_running_loop()
         self.probe: asyncio.TimerHandle | None = None  # while the line is asked
+        self.holding: asyncio.TimerHandle | None = None  # while calls wait
         self.pending: list[tuple[ops.Message, int, Callable[[Any], None]]] = []
 
-    def send(self, message: ops.Message, rank: int, left: Callable[[Any], None]) -> None:
-        """`left` is given the parcel once it is handed to a line: until then it surely is not there."""
+    def send(self, message: ops.Message, rank: int, left: Callable[[Any], None], once: bool = False) -> None:
+        """`left` is given the parcel once it is handed to a line: until then it surely is not there.
+
+        `once`: it may not be repeated, and is lost with a line that proves dead.
+        """
         line = self.rope.line if self.rope.up else None
-        if line is not None and self.probe is None and self.loop.time() - line.came < DOUBT:
+        doubt = DOUBT_ONCE if once else DOUBT
+        if line is not None and self.probe is None and self.loop.time() - line.came < doubt:
             left(line.send(message, rank))
             return
         self.pending.append((message, rank, left))
+        if message[0] == ops.CALL and self.holding is None:
+            self.holding = self.loop.call_later(HOLD, self._held)
         if line is None:
             self.rope.start()
         elif self.probe is None:
             self.probe = self.loop.call_later(PROBE, self._unheard, line)
             line.ask(lambda: self._up(self.rope))
 
+    def _held(self) -> None:
+        """Calls that no line has taken go elsewhere; what else waits goes on waiting."""
+        self.holding = None
+        calls = [row[0][1] for row in self.pending if row[0][0] == ops.CALL]
+        self.pending = [row for row in self.pending if row[0][0] != ops.CALL]
+        if calls:
+            self.host.unsent(calls)
+
     def _unheard(self, line: Line) -> None:
         self.probe = None
-        line.close()  # danger: a new try might wait behind a cut for as long again
+        if not line.open:  # what is open may have run and be answered yet: there the line's own beat decides
+            line.close()  # danger: a new try might wait behind a cut for as long again
 
     def _no_probe(self) -> None:
         if self.probe is not None:
@@ -295,12 +314,19 @@
 
     def _up(self, rope: Rope) -> None:
         self._no_probe()
+        self._no_hold()
         pending, self.pending = self.pending, []
         for message, rank, left in pending:
             left(rope.send(message, rank))
 
+    def _no_hold(self) -> None:
+        if self.holding is not None:
+            self.holding.cancel()
+            self.holding = None
+
     def _down(self, rope: Rope) -> None:
         self._no_probe()
+        self._no_hold()
         self.pending.clear()
         self.host.lost(self)
         if rope.timer is not None:  # it is tried again when there is something to send
@@ -315,4 +341,5 @@
 
     def close(self) -> None:
         self._no_probe()
+        self._no_hold()
         self.rope.close()
--- a/rigs/meshlab/size.py
+++ b/rigs/meshlab/size.py
@@ -111,7 +111,7 @@
         self.seq, self.life, self.state = 0, 1, "up"
         self.forges: Forges | None = None
         self.peers: list[Peer] = []
-        self.answers, self.losses = 0, list[str]()
+        self.answers, self.losses, self.back = 0, list[str](), list[int]()
 
     def begin(self) -> None:
         self.crowd.network.listen(self.machine, lambda: Line(self), self.ip, PORT)
@@ -157,6 +157,9 @@
     def lost(self, peer: Peer) -> None:
         self.losses.append(peer.ip)
 
+    def unsent(self, idents: list[int]) -> None:
+        self.back += idents
+
     # What Forges asks of its host
 
     def changed(self, config: bool, records: bool) -> None:
--- a/tests/mesh/test_size.py
+++ b/tests/mesh/test_size.py
@@ -10,11 +10,12 @@
 from minthitch.forge import pushes
 from minthitch.forge.pushes import GATHER
 from minthitch.pulley import ops, squeeze
+from minthitch.pulley.line import DEAD
 from minthitch.pulley.pieces import Broken
 from minthitch.rack.table import GONE_AFTER, Rack, Record, Views, newer, told
 from minthitch.scribe.events import LOG
 from minthitch.vise import links
-from minthitch.vise.links import PROBE, Peer, _acted_on
+from minthitch.vise.links import DOUBT_ONCE, HOLD, PROBE, Peer, _acted_on
 from rigs.meshlab.mesh import FORGES
 from rigs.meshlab.size import SPREAD, Crowd
 
@@ -145,6 +146,29 @@
         crowd.loop.run_until(crowd.loop.now + PROBE + 0.1)
         self.assertEqual((left, caller.answers, caller.losses), ([live.ip], COUNT, [dead.ip]))
 
+    def test_a_call_goes_elsewhere_while_a_line_is_doubted_and_what_is_open_on_it_is_not_cut(self) -> None:
+        crowd = self.crowd()
+        crowd.meet(1)
+        crowd.loop.run_until(crowd.loop.now + 1.0)
+        caller = crowd.told[-1]
+        peer = caller.peers[0]
+        left: list[str] = []
+        crowd.loop.after(0.0, caller.machine, self.call, peer, 7, left)  # nobody answers it
+        crowd.loop.run_until(crowd.loop.now + DOUBT_ONCE / 2)
+        crowd.network.cut(caller.ip, peer.ip)
+        crowd.loop.run_until(crowd.loop.now + DOUBT_ONCE)
+        crowd.loop.after(0.0, caller.machine, self.call, peer, 8, left)
+        crowd.loop.run_until(crowd.loop.now + HOLD + 0.05)
+        self.assertEqual((left, caller.back), ([peer.ip], [8]))
+        crowd.loop.run_until(crowd.loop.now + PROBE)
+        self.assertEqual(caller.losses, [])
+        crowd.loop.run_until(crowd.loop.now + 2 * DEAD)
+        self.assertEqual(caller.losses, [peer.ip])
+
+    def call(self, peer: Peer, ident: int, left: list[str]) -> None:
+        message = (ops.CALL, ident, "no life", 9.0, 9.0, 1, 1, b"POST", b"/", (), b"", b"id", b"a", "route")
+        peer.send(message, 0, lambda parcel: left.append(peer.ip), once=True)
+
     def ask(self, peer: Peer, left: list[str]) -> None:
         peer.send((ops.BEG, 0), 0, lambda parcel: left.append(peer.ip))
 
