--- a/tests/mesh/test_explain.py
+++ b/tests/mesh/test_explain.py
@@ -30,6 +30,7 @@
 from rigs.meshlab.people import Operators, People
 from rigs.meshlab.play import Deed
 from tests.mesh.test_meshlab import case, slots, statuses
+from tests.mesh.test_start import NEVER, loaded
 
 
 class Watch:
@@ -132,6 +133,9 @@
         counter.take(cast(Visitor, visitor), item)
         return said[0]
 
+    def test_what_tracing_loads_is_nothing_of_peoples_commands(self) -> None:
+        self.assertFalse({name.partition(".")[0] for name in loaded("minthitch.vise.tracing")} & NEVER)
+
     def test_off_until_a_call_with_a_stated_end(self) -> None:
         timer = SimpleNamespace(cancel=lambda: None)
         loop = SimpleNamespace(time=lambda: 1.0, call_later=lambda *args: timer)
