--- a/minthitch/clamp/budget.py
+++ b/minthitch/clamp/budget.py
@@ -149,6 +149,10 @@
         """Charges to the ratio that still count."""
         return self.spent.total(self._at(now))
 
+    def requests(self, now: float) -> int:
+        """Those that still earn something."""
+        return self.taken.total(self._at(now))
+
     def left(self, now: float) -> int:
         """Further arrivals that may be caused now."""
         return max(self._earned(now), 0) + max(self.held(now) - self.slack_spent(now), 0)
@@ -187,4 +191,4 @@
 
     def idle(self, now: float) -> bool:
         """Whether no request for the service was taken for longer than a window."""
-        return not self.denied and not self.taken.total(self._at(now))
+        return not self.denied and not self.requests(now)
--- a/minthitch/vise/copies.py
+++ b/minthitch/vise/copies.py
@@ -106,7 +106,7 @@
     def _ended(self, attempt: Attempt, message: ops.Message) -> None:
         now, trip, target, choice = self.loop.time(), attempt.trip, attempt.target, self.front.choice
         route, took = trip.route, now - attempt.sent
-        attempt.over = True
+        attempt.over, attempt.word = True, message[2]
         if message[0] == ops.ANSWER:
             _, _, status, fields, body, running, queued = message
             choice.told(now, target, running, queued)
--- a/minthitch/vise/front.py
+++ b/minthitch/vise/front.py
@@ -6,6 +6,7 @@
 import math
 import random
 import time
+from collections.abc import Callable
 from typing import Any
 
 from minthitch.clamp.nested import Nested
@@ -53,6 +54,7 @@
         self.table: Table | None = None
         self.choice = Choice(boot.own.az, epoch)
         self.nodes = 1
+        self.make_trip: Callable[..., Trip] = Trip  # another while its operator traces requests
         self.trips: set[Trip] = set()
         self.by_visitor: dict[Visitor, Trip] = {}
         self.copies, self.asks = Copies(self), Asks(self)
@@ -144,7 +146,7 @@
         nested = self.nested_routes.note(route.name, self.gatehouse.gate.running)
         # Servers' own calls carry no key.
         self.purse.taken(service, route.kind != "keyed" and self.nested_routes.may_be(route.name))
-        trip = Trip(self, visitor, item, route, service, now, left, nested)
+        trip = self.make_trip(self, visitor, item, route, service, now, left, nested)
         self.trips.add(trip)
         self.by_visitor[visitor] = trip
         trip.begin()
--- a/minthitch/vise/purse.py
+++ b/minthitch/vise/purse.py
@@ -124,5 +124,6 @@
     def status(self, service: str) -> dict[str, int]:
         """Of one service, for operators."""
         now, budget = steady(), self.of(service)
-        return {"left": budget.left(now), "lease": budget.held(now), "slack_spent": budget.slack_spent(now),
-                "ratio_spent": budget.ratio_spent(now)}
+        slack, ratio = budget.slack_spent(now), budget.ratio_spent(now)
+        return {"requests": budget.requests(now), "spent": slack + ratio, "left": budget.left(now),
+                "lease": budget.held(now), "slack_spent": slack, "ratio_spent": ratio}
