--- a/minthitch/cli/lab.py
+++ b/minthitch/cli/lab.py
@@ -53,6 +53,17 @@
                       help="of the first day (1)")
     hunt.add_argument("--jobs", type=int, default=1, metavar="N", help="processes")
     hunt.add_argument("--keep", type=Path, metavar="DIR", help="write the worst failing day there, cut down")
+    mesh = words.add_parser("mesh-days", help="write days for the mesh: drawn troubles that meet in pairs")
+    mesh.add_argument("site", type=Path, help="the site's file")
+    mesh.add_argument("--also", type=Path, nargs="+", default=[], metavar="SITE",
+                      help="other sites' files: kinds of trouble that this site lacks")
+    mesh.add_argument("--page", type=Path, metavar="FILE",
+                      help="the bench's page of kinds: only these, with their variants")
+    mesh.add_argument("--seed", type=int, default=1)
+    mesh.add_argument("--count", type=int, default=20, metavar="K", help="days (20)")
+    mesh.add_argument("--mix", type=int, default=4, metavar="M",
+                      help="kinds that meet on a day (4); 1: each kind alone")
+    mesh.add_argument("--out", type=Path, metavar="DIR", required=True)
     load = words.add_parser("load", help="load a real node: open loop, every answer checked")
     load.add_argument("url", help="http://ADDRESS:PORT of the node's listener")
     load.add_argument("scenario")
@@ -242,9 +253,39 @@
     return 1 if failed else 0
 
 
+def _site(path: Path) -> dict[str, Any]:
+    import tomllib
+
+    try:
+        return tomllib.loads(path.read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as err:
+        raise ConfigError(f"{path}: {err}") from None
+
+
+def _mesh_days(args: argparse.Namespace) -> int:
+    import tomli_w
+
+    from minthitch.lab import meshdays
+
+    try:
+        kinds = None if args.page is None else meshdays.page(args.page.read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError) as err:
+        raise ConfigError(f"--page {args.page}: {err}") from None
+    drawn = meshdays.pool(_site(args.site), [_site(path) for path in args.also], kinds)
+    for day in meshdays.days(drawn, args.seed, args.count, args.mix):
+        path = args.out / f"{day['name']}.toml"
+        try:
+            args.out.mkdir(parents=True, exist_ok=True)
+            path.write_text(tomli_w.dumps({"day": [day]}), encoding="utf-8")
+        except OSError as err:
+            raise ConfigError(f"{path}: {err}") from None
+        print(f"{path}: {' '.join(meshdays.kinds_of(day))}")
+    return 0
+
+
 DO: dict[str, Callable[[argparse.Namespace], int]] = {
     "list": _list, "rivals": _rivals, "run": _run, "sweep": _sweep, "compare": _compare, "bisect": _bisect,
-    "replay": _replay, "load": _load, "hunt": _hunt}
+    "replay": _replay, "load": _load, "hunt": _hunt, "mesh-days": _mesh_days}
 
 
 def main(args: argparse.Namespace) -> int:
