A server that fails or turns away at once loses its calls: failures count beside the curve

Cause: an instant failure adds nothing to a curve's mean, and below five outcomes of a route (usual with many nodes) only the mean counts; what a server itself turned away taught nothing. The fastest to fail was idle, hence cheapest, and got most calls.

Ruled out: the budget, a late list, the gate's queue (a gate that turns its queue away when no slot frees for 0.5 s was tried: no difference).

Change: each node keeps, over a server's routes, the part of its last calls that fail within the reference time or are turned away by it (half-life 3 s), and takes it from its chance. Failures that took longer tell by their time.

--- a/minthitch/vise/choice.py
+++ b/minthitch/vise/choice.py
@@ -27,13 +27,16 @@
 POOL_MOST = 24  # servers looked at for one call, drawn at random: more cost time and are hardly better
 FITS_MOST = 2_000  # curves kept
 RACE_LOAD = 0.6  # part of its slots in use up to which a server takes part in a race: copies cost the others
+FAIL_FADES = 3.0  # seconds after which a call counts half in the part of a server's calls that fail
+FAIL_PRIOR = 2.0  # answers that stand for a server's calls before any outcome
 COLD_PART = 0.5  # part of its slots that a cold server is taken to have
 
 
 class Target:
     """One server of a service as this node sees it."""
 
-    __slots__ = ("ip", "life", "zone", "slots", "curves", "out", "load", "load_at", "shut", "cold_until")
+    __slots__ = ("ip", "life", "zone", "slots", "curves", "out", "load", "load_at", "shut", "cold_until",
+                 "calls", "fails", "failed_at")
 
     def __init__(self, ip: str, life: str, zone: str, slots: int, cold_until: float) -> None:
         self.ip, self.life, self.zone, self.slots, self.cold_until = ip, life, zone, slots, cold_until
@@ -41,12 +44,24 @@
         self.out = 0  # this node's calls that are out
         self.load, self.load_at = 0.0, 0.0  # what it was told to have in hand, and when
         self.shut = 0.0
+        self.calls = self.fails = 0.0  # fading, on all routes: that ended by themselves; that failed at once
+        self.failed_at = 0.0  # when they were counted last
 
     def busy(self, now: float) -> float:
         """Calls that it has in hand, about: this node's own, and what others had there when it last spoke."""
         faded = self.load * math.exp2((self.load_at - now) / LOAD_FADES)
         return max(float(self.out), faded)
 
+    def count(self, now: float, failed: bool) -> None:
+        fade = math.exp2((self.failed_at - now) / FAIL_FADES)
+        self.failed_at = now
+        self.calls, self.fails = self.calls * fade + 1.0, self.fails * fade + failed
+
+    def failing(self, now: float) -> float:
+        """The part of its calls that fails at once, whatever the time they have."""
+        fade = math.exp2((self.failed_at - now) / FAIL_FADES)
+        return self.fails * fade / (self.calls * fade + FAIL_PRIOR)
+
     def room(self, now: float) -> float:
         return self.slots * (COLD_PART if now < self.cold_until else 1.0)
 
@@ -132,7 +147,8 @@
             left -= over * mean * base / max(target.room(now), 1.0)
         if left <= 0:
             return 0.0
-        return gammainc(shape, shape * left / (mean * base))
+        # Danger: who fails at once is idle, so cheap, and quick: with the curve alone all would go there.
+        return (1.0 - target.failing(now)) * gammainc(shape, shape * left / (mean * base))
 
     def _curve(self, now: float, evidence: Evidence | None) -> tuple[float, float]:
         if evidence is None:
@@ -157,6 +173,8 @@
         """An attempt is over: `ok` with an answer of worth, `lost` without one (error, reset, silence)."""
         target.out = max(target.out - 1, 0)
         timing = self.timing(route, goal)
+        if ok or (lost and took <= REFERENCE * timing.mean):  # slower ones tell by their time
+            target.count(now, lost)
         if ok:
             timing.note(took)
         evidence = target.curves.get(route)
@@ -168,8 +186,10 @@
         """What the gate beside it had in hand when it spoke."""
         target.load, target.load_at = float(running + queued), now
 
-    def shut(self, now: float, target: Target, busy: bool) -> None:
-        """It could not be reached, or (`busy`) turned a call away."""
+    def shut(self, now: float, target: Target, busy: bool, seen: bool = False) -> None:
+        """It could not be reached, or (`busy`) turned a call away; `seen`: the server did, not its gate."""
+        if seen:  # danger: nothing else is learned of it, and it is quick
+            target.count(now, True)
         target.shut = now + (SHUT_BUSY if busy else SHUT)
 
     def overdue(self, route: str, goal: float) -> float:
--- a/minthitch/vise/front.py
+++ b/minthitch/vise/front.py
@@ -264,7 +264,7 @@
             _, _, why, arrived, running, queued, wait = message
             self.choice.told(now, target, running, queued)
             target.out = max(target.out - 1, 0)
-            self.choice.shut(now, target, why != "gone")
+            self.choice.shut(now, target, why != "gone", arrived)
             trip.turned_away(attempt, arrived, wait)
         else:
             _, _, why, running, queued = message
--- a/tests/mesh/test_parts.py
+++ b/tests/mesh/test_parts.py
@@ -264,6 +264,31 @@
         self.assertNotIn("life-0", {self.choice.pick(3.0, "svc", "r", 0.4, 0.4, 1, 0, ())[0].life
                                     for _ in range(30)})
 
+    def _asked(self, since: float, seconds: int, seen: bool | None) -> int:
+        """How many of 10 calls a second life-0 gets that fails each at once (None: it serves them)."""
+        count = 0
+        for n in range(10 * seconds):
+            now = since + n / 10
+            target = self.choice.pick(now, "svc", "r", 0.4, 0.4, 1, 0, ())[0]
+            count += target.life == "life-0"
+            self.choice.sent(target)
+            if target.life != "life-0" or seen is None:
+                self.choice.ended(now, target, "r", 0.4, 0.1, ok=True, lost=False)
+            elif seen:
+                target.out -= 1
+                self.choice.shut(now, target, True, seen)
+            else:
+                self.choice.ended(now, target, "r", 0.4, 0.001, ok=False, lost=True)
+        return count
+
+    def test_a_server_that_fails_or_refuses_at_once_is_left_alone_until_it_serves(self) -> None:
+        for seen in (False, True):
+            with self.subTest(turns_away=seen):
+                self.setUp()
+                self.assertGreater(self._asked(0.0, 10, None), 15)
+                self.assertLess(self._asked(10.0, 10, seen), 8)
+                self.assertGreater(self._asked(20.0, 20, None), 15)
+
 
 if __name__ == "__main__":
     unittest.main()
