A server's bare 503 for what may run once is told as 502: no promise that nobody keeps

Cause: answers were passed on unchanged, also 408, 421, 429 and 503 of a server that had not said that it did not run the request; to a client these promise that it has not and never will, and the key kept it as its answer.

Ruled out: 503 with X-Not-Executed, 421 and the gate's refusals (known as not run before). What may be repeated is as before.

Change: such an answer ends a request that may run once with 502, its key as unknown.

--- a/minthitch/vise/trip.py
+++ b/minthitch/vise/trip.py
@@ -22,6 +22,7 @@
 BACK_PART = 0.04, 0.12  # a refused client comes back after this part of its aim, or when there is room
 BACK_LEAST = 0.02  # seconds
 HELD_PART = 0.5  # of what is left: so long a keyed request waits for its claim at most
+PROMISES = frozenset((408, 421, 429, 503))  # "it has not run and never will": kept only where that is known
 NOT_PASSED = frozenset((b"x-caller-service", b"x-deadline-ms", b"x-target-instance"))  # written anew
 Fields = tuple[tuple[bytes, bytes], ...]
 
@@ -165,6 +166,9 @@
         self.out.pop(attempt.ident, None)
         if self.closed:
             return
+        if self.once and status in PROMISES:  # danger: it ran, and its client would ask anew
+            self._end_unknown(ErrorKind.MAY_HAVE_RUN)
+            return
         if status >= 500 and not self.once:
             self.spare = status, fields, body
             if self.out or (self._may_repeat() and self._again()):
