The gate of a server that hangs turns its queue away, so that who waits goes elsewhere

Cause: the gate reckons its waits from calls that ended; when none ends, the mean stays good and the queue fills and waits to the end.

Change: full, and no slot free for 0.5 s or three means: stuck; the queue and comers are turned away, which is no arrival.

--- a/minthitch/clamp/gate.py
+++ b/minthitch/clamp/gate.py
@@ -15,6 +15,7 @@
 MOST_ROUTES = 4_000  # routes whose means are kept
 URGENT = 0  # the rank of what others wait for with a slot of theirs in hand: it may come late
 LEAST_PART = 0.5  # of what it needs: with less time left than that, it is not begun
+STUCK, STUCK_MEANS = 0.5, 3.0  # seconds, means of its calls, in which no slot of a full server came free
 HOPE = 0.8  # part of what is left to its deadline within which even that must be expected to end
 
 Job = TypeVar("Job")
@@ -38,6 +39,7 @@
 
     def __init__(self, slots: int) -> None:
         self.slots, self.running = slots, 0
+        self.moved = 0.0  # when a slot was taken or came free last
         self.queue: list[Waiting[Job]] = []
         self.mean = FIRST_MEAN
         self.means: dict[str, tuple[float, int]] = {}  # by route: seconds, and how many ended
@@ -61,7 +63,7 @@
     def arrive(self, now: float, waiting: Waiting[Job]) -> bool | None:
         """True: it starts now. False: it waits. None: it is turned away, never having run."""
         if self.running < self.slots and not self.queue:
-            self.running += 1
+            self.running, self.moved = self.running + 1, now
             return True
         # Danger: what waits and is not served in the end has cost its client the time to go elsewhere.
         ends = now + self.wait(waiting.rank) + waiting.needs
@@ -73,6 +75,10 @@
         self.queue.append(waiting)
         return False
 
+    def stuck(self, now: float) -> bool:
+        """Whether its server hangs: the times known of it say nothing, and who waits should go elsewhere."""
+        return self.running >= self.slots and now - self.moved > max(STUCK, STUCK_MEANS * self.mean)
+
     def ended(self, route: str, took: float | None) -> None:
         """A slot is free; `took` seconds were spent in it, None where that tells nothing."""
         self.running = max(self.running - 1, 0)
@@ -84,7 +90,8 @@
             self.means[route] = mean + max(SMOOTH, 1.0 / (count + 1)) * (took - mean), count + 1
 
     def next(self, now: float) -> tuple[list[Job], list[Job]]:
-        """(those that start now, those turned away because their time is over)."""
+        """After a slot came free: (those that start now, those turned away because their time is over)."""
+        self.moved = now
         starts: list[Job] = []
         late = [w for w in self.queue if now + LEAST_PART * w.needs > w.deadline]
         if late:
--- a/minthitch/vise/gatehouse.py
+++ b/minthitch/vise/gatehouse.py
@@ -113,6 +113,10 @@
         if self.state != "up" or job.life != self.life:
             self._busy(job, "gone", False)
             return
+        if self.gate.stuck(now):
+            self._turn_away_queue("stuck")
+            self._busy(job, "stuck", False)
+            return
         needs = self.gate.needs(job.route, message[4])
         verdict = self.gate.arrive(now, Waiting(job, message[5], now + message[4], job.deadline, needs))
         if verdict is None:
--- a/tests/mesh/test_parts.py
+++ b/tests/mesh/test_parts.py
@@ -112,6 +112,18 @@
         gate.arrive(0.0, Waiting(0, 1, 1.0, 1.0, 0.2))
         self.assertIsNone(gate.arrive(0.0, Waiting(1, 1, 0.3, 0.4, 0.2)))
 
+    def test_a_full_server_that_frees_no_slot_is_stuck_until_one_comes_free(self) -> None:
+        gate: Gate[int] = Gate(2)
+        for n in range(2):
+            self.assertTrue(gate.arrive(0.1 * n, Waiting(n, 1, 9.0, 9.0, 0.1)))
+        self.assertEqual([gate.stuck(now) for now in (0.5, 0.7)], [False, True])
+        gate.ended("r", 2.0)
+        self.assertEqual(gate.next(0.8), ([], []))
+        self.assertFalse(gate.stuck(1.4))  # not full
+        self.assertTrue(gate.arrive(1.4, Waiting(2, 1, 9.0, 9.0, 0.1)))
+        gate.mean = 0.5
+        self.assertEqual([gate.stuck(now) for now in (2.8, 3.0)], [False, True])  # a slow one: three means
+
 
 class Budgets(unittest.TestCase):
     def test_all_nodes_together_keep_the_sum_over_every_window(self) -> None:
