A silent server is known in 0.5 s and not after its callers have given up

Cause: a connection to the server on the own machine was given 2 s, callers wait from 1 s: so its silence never reached the gate, and its list entry stayed up.

Change: 0.5 s; then the call ends as not run, and the server is out of the list until its next beat.

--- a/minthitch/spool/upstream.py
+++ b/minthitch/spool/upstream.py
@@ -17,7 +17,7 @@
 from minthitch.net.servers import COPIED, IDLE_PART, Connection, Pool
 
 IDLE = 8 * api.SECOND  # servers say Keep-Alive; half of this is used, well below what they state
-CONNECT = 2 * api.SECOND  # seconds for a connection on the same machine
+CONNECT = api.SECOND // 2  # for one on the same machine: less than callers wait, so a silent server is known
 LEAST_IDLE = 0.25  # seconds for which a connection is kept at least
 MOST_STRAYS = 8  # answers to other requests that one connection may bring before it is given up
 RAN, NOT_RUN, UNKNOWN = "ran", "not run", "unknown"
--- a/tests/mesh/test_gatehouse.py
+++ b/tests/mesh/test_gatehouse.py
@@ -4,19 +4,24 @@
 
 import asyncio
 import math
+import time
 import unittest
 from types import SimpleNamespace
 from typing import Any
+from unittest import mock
 
 import msgspec
 
+from minthitch.engine.calls import Message
 from minthitch.net.callers import Incoming
 from minthitch.press.routes import Route
 from minthitch.pulley import ops
-from minthitch.spool.upstream import NOT_RUN, RAN, UNKNOWN, Errand, Outcome
+from minthitch.spool.upstream import NOT_RUN, RAN, UNKNOWN, Errand, Outcome, Upstream
+from minthitch.spool.upstream import Shelf as RealShelf
 from minthitch.interface import Status
 from minthitch.vise.gatehouse import ONCE, Gatehouse
 from minthitch.vise.trip import Trip
+from rigs.meshlab.loop import Machine, VirtualLoop
 
 
 class Shelf:
@@ -127,5 +132,25 @@
         self.assertEqual(trip.fields, ((b"X-Request-Id", b"1"), (b"Accept", b"*/*")))
 
 
+class Silent(unittest.TestCase):
+    def test_a_server_that_takes_no_connection_is_known_before_its_callers_give_up(self) -> None:
+        loop, outcomes = VirtualLoop(1), list[Outcome]()
+
+        async def silence(*_: Any) -> Any:
+            await loop.create_future()
+
+        def ask() -> None:
+            errand = Errand(Upstream("127.0.0.1:9"), Message(b"GET", b"/", (), b""), b"id", b"life", b"svc",
+                            time.monotonic_ns() + 10**12, True, outcomes.append)
+            RealShelf(4).run(errand)
+
+        with mock.patch.object(loop, "create_connection", silence):
+            loop.after(0.0, Machine("side"), ask)
+            loop.run_until(0.7)
+        loop.close()
+        self.assertEqual([(o.kind, o.why, o.arrived) for o in outcomes],
+                         [(NOT_RUN, Status.CONNECT_FAILED.value, False)])
+
+
 if __name__ == "__main__":
     unittest.main()
