--- a/minthitch/vise/copies.py
+++ b/minthitch/vise/copies.py
@@ -117,7 +117,7 @@
             choice.told(now, target, running, queued)
             target.out = max(target.out - 1, 0)
             if why != "budget":  # it has room for what is no repeat
-                choice.shut(now, target, why != "gone")
+                choice.shut(now, target, why != "gone", arrived)
             trip.turned_away(attempt, arrived, wait)
         else:
             _, _, why, running, queued = message
--- a/minthitch/vise/gatehouse.py
+++ b/minthitch/vise/gatehouse.py
@@ -119,6 +119,10 @@
         if job.flags & REPEAT and not self.may_repeat():
             self._busy(job, "budget", False)
             return
+        if self.gate.stuck(now):
+            self._turn_away_queue("stuck")
+            self._busy(job, "stuck", False)
+            return
         needs = self.gate.needs(job.route, message[4])
         verdict = self.gate.arrive(now, Waiting(job, message[5], now + message[4], job.deadline, needs))
         if verdict is None:
