A call that met discovery's silence no longer delays the hearing of a drain

Each call was waited for 2 s (HEAD_TIMEOUT), then came a pause that had grown to 0.25-0.75 s, so that a node heard of the drain up to 2.7 s late, with a grace of 0.5 s.

Ruled out: a drain during a connect (no send after the node had heard), a new process on an old list (none of 69 sent before its first list), the pause alone.

Change: where lists are pushed, a call without an answer for a sixth of the grace gets another beside it, one at a time; the pause stays under that sixth; `watch: ...` is logged once for each cause.

--- a/minthitch/net/discovery.py
+++ b/minthitch/net/discovery.py
@@ -10,10 +10,11 @@
 import httptools
 
 from minthitch.engine.core import Engine
-from minthitch.interface import ListKind
+from minthitch.interface import SECOND, ListKind
 from minthitch.listing import Listing, ListError, decode, parse_address
 
-PAUSE_LEAST, PAUSE_MOST = 0.1, 0.5  # seconds before a watch is opened again, before jitter
+BLIND_PART = 6  # where lists are pushed, calls begin so often within the grace of a drain,
+BLIND_LEAST, BLIND_MOST = 0.05, 0.25  # but at least and at most so many seconds apart
 MOST_LINE = 8 * 1024 * 1024
 SILENCE = 3.5  # seconds after which a watch is dead: an empty line is due every 2 s
 CALL_TIMEOUT = 5.0  # a call for the list takes no longer
@@ -78,28 +79,52 @@
 
 
 class Client:
-    """Calls discovery at one address."""
+    """Calls discovery at one address.
 
-    def __init__(self, address: str, head_timeout: float = HEAD_TIMEOUT) -> None:
-        self.authority, self.head_timeout = address, head_timeout
+    A call without an answer after `again` seconds gets others beside it, one at a time; None: none.
+    """
+
+    def __init__(self, address: str, head_timeout: float = HEAD_TIMEOUT, again: float | None = None) -> None:
+        self.authority, self.head_timeout, self.again = address, head_timeout, again
         self.host, self.port = parse_address(address)
         self.call: Call | None = None  # the watch that is open, or was last
 
     async def _open(self, target: str, on_line: Callable[[bytes], None] | None) -> Call:
+        """A call that is answered with 200; its head has come. Raises ListError.
+
+        Danger: a call that meets silence may stay unanswered when discovery speaks again, and what it tells
+        from then on counts. The first is waited for all the same, for a discovery that is slow.
+        """
         loop = asyncio.get_running_loop()
-        call: Call | None = None
+        begun = [loop.create_task(self._call(target, on_line))]
+        try:
+            while True:
+                done, _ = await asyncio.wait(begun, timeout=self.again, return_when=asyncio.FIRST_COMPLETED)
+                if done:
+                    answered = done.pop()
+                    begun.remove(answered)
+                    return answered.result()
+                if len(begun) > 1:
+                    _let_go(begun.pop())
+                begun.append(loop.create_task(self._call(target, on_line)))
+        finally:
+            for task in begun:
+                _let_go(task)
+
+    async def _call(self, target: str, on_line: Callable[[bytes], None] | None) -> Call:
+        call = Call(target, self.authority, on_line)
         try:
             async with asyncio.timeout(self.head_timeout):
-                _, call = await loop.create_connection(
-                    lambda: Call(target, self.authority, on_line), self.host, self.port)
+                await asyncio.get_running_loop().create_connection(lambda: call, self.host, self.port)
                 status = await call.headed
+            if status != 200:
+                raise ListError(f"answered {status}")
         except (OSError, TimeoutError) as err:
-            if call is not None:
-                call._fail(ListError("no answer"))
+            call._fail(ListError("no answer"))
             raise ListError(f"no answer ({type(err).__name__})") from None
-        if status != 200:
-            call._fail(ListError(f"answered {status}"))
-            raise ListError(f"answered {status}")
+        except BaseException:
+            call._fail(ListError("given up"))
+            raise
         return call
 
     async def fetch(self) -> Listing:
@@ -131,6 +156,12 @@
             call._fail(ListError("done"))
 
 
+def _let_go(task: asyncio.Task[Call]) -> None:
+    """Danger: one that was answered in the same moment would stay open."""
+    if not task.cancel() and not task.cancelled() and task.exception() is None:
+        task.result()._fail(ListError("another was answered first"))
+
+
 class Discovery:
     """Keeps an engine's list by a watch; where lists are asked for, the Balancer says when."""
 
@@ -138,14 +169,17 @@
         self.engine, self.asked = engine, engine.settings.ask_for_list
         self.loop = asyncio.get_running_loop()
         self.random = random.Random(seed)
+        grace = engine.settings.drain_grace / SECOND
+        self.blind = min(max(grace / BLIND_PART, BLIND_LEAST), BLIND_MOST)  # seconds; where lists are pushed
         self.client = self._client(address)
         self.seq = 0  # of the last list or change heard
+        self.trouble = ""  # what was said last of a watch that failed, and no list has come since
         self.tasks: set[asyncio.Task[None]] = set()
         self.watching: asyncio.Task[None] | None = None
 
     def _client(self, address: str) -> Client:
-        # Where lists are asked for, it is one service for all nodes, with a queue.
-        return Client(address, CALL_TIMEOUT if self.asked else HEAD_TIMEOUT)
+        # Where lists are asked for, it is one service for all nodes, with a queue: one call at a time.
+        return Client(address, CALL_TIMEOUT) if self.asked else Client(address, again=self.blind)
 
     def start(self) -> None:
         """Pushed lists are watched from the start; else the Balancer subscribes."""
@@ -193,13 +227,14 @@
             self.engine.log_error("a task failed", err)
 
     async def _keep_watching(self) -> None:
-        """Push: the list comes unasked, over a watch that is opened again whenever it ends."""
-        pause = PAUSE_LEAST
+        """Push: the list comes unasked, over a watch that is opened again whenever it ends.
+
+        Danger: what discovery has counts as told whether or not a watch is open: a pause that grows is taken
+        from the grace of a drain.
+        """
         while True:
-            before = self.seq
             await self._watch()
-            pause = PAUSE_LEAST if self.seq != before else min(2 * pause, PAUSE_MOST)
-            await asyncio.sleep(pause * self.random.uniform(0.5, 1.5))  # or all nodes would come at once
+            await asyncio.sleep(self.blind * self.random.uniform(0.5, 1.0))  # or all nodes would come at once
 
     async def _watch(self) -> None:
         client = self.client
@@ -208,7 +243,9 @@
                 self._heard(await client.fetch())
             await client.watch(self.seq, self._heard)
         except ListError as err:
-            self.engine.log(f"watch: {err}")
+            if str(err) != self.trouble:  # danger: while discovery is down the same would fill the log
+                self.engine.log(f"watch: {err}")
+            self.trouble = str(err)
 
     async def _watch_once(self) -> None:
         """Ask: the Balancer decides when to subscribe again."""
@@ -225,5 +262,5 @@
                 self.engine.list_failed()
 
     def _heard(self, listing: Listing) -> None:
-        self.seq = listing.seq
+        self.seq, self.trouble = listing.seq, ""
         self.engine.listed(listing, ListKind.FULL if listing.whole else ListKind.CHANGES)
