What still connects is written within half of a drain's grace

Cause: `Engine.may_write` gave the whole grace from when the node had heard, and where lists are pushed the drain counts from when discovery had it, up to a third of the grace earlier: an attempt whose connection came up in the last third was written past the rule (core.py, `drained`).

--- a/minthitch/engine/core.py
+++ b/minthitch/engine/core.py
@@ -22,6 +22,7 @@
 from minthitch.policy import Balancer
 
 BESIDE = 0.5  # part of the calls that a process serves beside the one that it replaces
+GRACE_PART = 2  # a drain may be heard half of its grace late: one in so many parts is left then
 FULL_BACK = 0.04, 0.12  # one over the limit of open requests comes back after this part of its aim
 
 
@@ -263,9 +264,13 @@
             attempt.end(api.Status.MOOT)
 
     def may_write(self, request: Request, server: Server) -> bool:
-        """Whether bytes of the request may still go to the server, now."""
+        """Whether bytes of the request may still go to the server, now.
+
+        Danger: where lists are pushed, a drain counts from when discovery had it, and the node may have heard
+        it later; what still connects may not use the whole grace from then on.
+        """
         now = self.clock.now()
-        drained = server.told and now >= server.told + self.settings.drain_grace
+        drained = server.told and now >= server.told + self.settings.drain_grace // GRACE_PART
         return not request.over and now < request.deadline and not drained
 
     def sent(self) -> None:
--- a/tests/test_silent_discovery.py
+++ b/tests/test_silent_discovery.py
@@ -5,11 +5,13 @@
 import asyncio
 import json
 from collections.abc import Callable
+from types import SimpleNamespace
 from typing import Any, cast
 
 import pytest
 
 from minthitch.engine import Engine
+from minthitch.engine.attempts import Request
 from minthitch.engine.clock import Timer
 from minthitch.interface import SECOND
 from minthitch.net.discovery import Discovery
@@ -102,7 +104,7 @@
         self.agent = Agent(self.loop, self.network)
         self.node = Machine(NODE)
         self.network.add(NODE, "z", self.node)
-        self.lines = list[str]()
+        self.lines, self.writes = list[str](), list[bool]()
         self.engine = Engine(from_object(settings_with(**parts)), seed, _Clock(self.loop), self.lines.append)
         self.seed = seed
 
@@ -119,6 +121,12 @@
         server = self.engine.fleet.servers.get("s0")
         return server.told / SECOND if server is not None else 0.0
 
+    def look(self) -> None:
+        """Notes whether an attempt that was decided before, and connects still, might be written now."""
+        request = cast(Request, SimpleNamespace(over=False, deadline=60 * SECOND))
+        server = self.engine.fleet.servers.get("s0")
+        self.writes.append(server is not None and self.engine.may_write(request, server))
+
 
 SEEDS = range(20)
 
@@ -136,8 +144,11 @@
     play.at(start, play.start, play.node)
     play.at(2.0, play.agent.fall_silent)
     play.at(back(seed), play.agent.speak)
+    play.at(back(seed) - 0.1, play.look)
+    play.at(back(seed) + GRACE, play.look)
     play.loop.run_until(20.0)
     assert back(seed) < play.told < back(seed) + GRACE / 2
+    assert play.writes == [start < 2.0, False], "what connects past the grace is not written"
     assert play.agent.most <= 3, "the old watch, a call, and one beside it"
     assert len(play.lines) <= 2
 
