A quiet line is kept while a long call travels: the caller asks, the called beats on its first piece

Now a caller whose line says nothing while something is open asks for a word each half second, and an end that has a part of a message beats. A line is asked before use after 2 s of silence (1 before: the time for which a dead one always passed for alive), and has 1.5 s for its answer (0.5 before: less than a packet takes behind uploads on such a link).

--- a/minthitch/pulley/line.py
+++ b/minthitch/pulley/line.py
@@ -17,6 +17,7 @@
 DEAD = 2.0  # seconds without a word after which a line is given up: cuts are silent
 IDLE_BEAT, IDLE_DEAD = 10.0, 32.0  # the same for a quiet line with nothing open
 BEAT_WORD = HEAD.pack(2, 0, 1) + bytes((0x91, ops.PING))  # a whole piece; no message has the number 0
+ASK_WORD = HEAD.pack(3, 0, 1) + bytes((0x92, ops.PING, 0xC3))  # the same, to be answered
 OPEN_MOST = 120.0  # seconds after which something open counts no more: its answer was forgotten
 CONNECT = 1.0  # seconds for a connection to come up
 PAUSES = (0.05, 0.1, 0.2, 0.25)  # seconds between two tries: a restart must not be noticed late
@@ -45,6 +46,7 @@
         self.quiet = False  # beats often only while something is open: N vises have N x N lines
         self.open: dict[int, float] = {}  # since when; what one end has asked and the other not answered
         self.pressed = 0.0  # since when something is open
+        self.coming = False  # whether a long message has come in part
         self.waits: Callable[[], None] | None = None  # called once, with the next word that comes
 
     @property
@@ -112,7 +114,13 @@
     def ask(self, waits: Callable[[], None]) -> None:
         """Whether the other end is there: `waits` is called once it says anything."""
         self.waits = waits
-        self.send((ops.PING, True), 0)
+        self._write(ASK_WORD)
+
+    def _write(self, word: bytes) -> None:
+        """Past the outbox, and so between the pieces of what waits there."""
+        if self.transport is not None and not self.clogged:
+            self.said = self.loop.time()
+            self.transport.write(word)
 
     def data_received(self, data: bytes) -> None:
         self.came = self.loop.time()
@@ -131,13 +139,17 @@
                     self.quiet = self.kind == ops.PEER
                 if message[0] == ops.PING:
                     if len(message) > 1:
-                        self.send((ops.PING,), 0)
+                        self._write(BEAT_WORD)
                     continue
                 if self.quiet:
                     self._track(message)
                 self.host.heard(self, message)
         except (Broken, ValueError, msgpack.UnpackException):
             self.close()  # danger: what follows bytes that are not ours can't be told apart
+            return
+        if self.quiet and self.inbox.open and not self.coming:
+            self._sweep_in(BEAT)  # danger: the sender of a long message gives up a line that says nothing
+        self.coming = bool(self.inbox.open)
 
     def _sweep_in(self, seconds: float) -> None:
         if self.sweeper is not None:
@@ -148,14 +160,16 @@
         now = self.loop.time()
         if self.open:
             self.open = {ident: at for ident, at in self.open.items() if at > now - OPEN_MOST}
-        idle = self.quiet and not self.open
+        idle = self.quiet and not self.open and not self.inbox.open
         beat, dead = (IDLE_BEAT, IDLE_DEAD) if idle else (BEAT, DEAD)
         self._sweep_in(beat)
         if now - max(self.came, self.pressed) > dead:
             self.close()
-        elif now - self.said >= beat and not self.clogged and self.transport is not None:
-            self.said = now
-            self.transport.write(BEAT_WORD)
+        elif self.quiet and self.open and now - self.came >= beat:
+            # Danger: the other end does not know of a long call before it has all of it, and would be silent.
+            self._write(ASK_WORD)
+        elif now - self.said >= beat:
+            self._write(BEAT_WORD)
 
     def close(self) -> None:
         if self.transport is not None:
--- a/minthitch/vise/links.py
+++ b/minthitch/vise/links.py
@@ -21,8 +21,8 @@
 SWEEP = 0.1  # seconds between two looks at claims
 MOST_FORGES = 64  # forges kept lines to
 Claimed = Callable[[str, str, bytes, bytes], None]  # verdict, owner, claim, digest
-DOUBT = 1.0  # seconds of silence after which a line to another vise is asked before it is used:
-PROBE = 0.5  # what is written to a dead one may have run. Seconds for its answer, then the line is given up
+DOUBT = 2.0  # seconds of silence after which a line to another vise is asked before it is used:
+PROBE = 1.5  # what is written to a dead one may have run. Seconds for its answer, then the line is given up
 PEER = "another vise"  # whose view stands in where no forge can be reached
 GRANTED, HELD, FULL, NO_LEADER = "granted", "held", "full", "no leader"
 
--- a/rigs/meshlab/size.py
+++ b/rigs/meshlab/size.py
@@ -20,6 +20,7 @@
 from minthitch.forge.hall import Hall
 from minthitch.pulley import ops
 from minthitch.pulley.line import Line
+from minthitch.pulley.pieces import PIECE
 from minthitch.rack.table import Record, Views
 from minthitch.vise.links import Forges, Peer
 from rigs.meshlab.history import History
@@ -75,6 +76,7 @@
     def __init__(self, loop: VirtualLoop) -> None:
         super().__init__(loop)
         self.sums: dict[str, Counter[str]] = defaultdict(Counter)
+        self.slow_to, self.slow_by = "", 0.0  # seconds for each long piece to that machine
 
     def send(self, end: End, item: Any) -> None:
         if isinstance(item, bytes):
@@ -85,6 +87,8 @@
             out["bytes_out"] += len(item)
             into["words_in"] += word
             into["bytes_in"] += len(item)
+            if end.peer.ip == self.slow_to and len(item) >= PIECE:  # and what follows on it
+                end.floor = max(end.floor, self.loop.now) + self.slow_by
         super().send(end, item)
 
 
--- a/tests/mesh/test_size.py
+++ b/tests/mesh/test_size.py
@@ -10,7 +10,7 @@
 from minthitch.forge import pushes
 from minthitch.forge.pushes import GATHER
 from minthitch.pulley import ops, squeeze
-from minthitch.pulley.pieces import Broken
+from minthitch.pulley.pieces import PIECE, Broken
 from minthitch.rack.table import GONE_AFTER, Rack, Record, Views, newer, told
 from minthitch.scribe.events import LOG
 from minthitch.vise import links
@@ -145,6 +145,24 @@
         crowd.loop.run_until(crowd.loop.now + PROBE + 0.1)
         self.assertEqual((left, caller.answers, caller.losses), ([live.ip], COUNT, [dead.ip]))
 
+    def test_a_long_message_on_a_slow_link_keeps_its_line(self) -> None:
+        crowd = self.crowd()
+        crowd.meet(1)
+        crowd.loop.run_until(crowd.loop.now + 15.0)
+        caller = crowd.told[-1]
+        peer, far = caller.peers[0], caller.peers[0].rope.line
+        assert far is not None
+        caller.answers = 0
+        crowd.loop.after(0.0, caller.machine, far.ask, lambda: None)
+        crowd.loop.run_until(crowd.loop.now + 0.1)
+        crowd.metered.slow_to, crowd.metered.slow_by = peer.ip, 0.6  # seconds for each piece
+        crowd.loop.after(0.0, caller.machine, self.upload, peer)
+        crowd.loop.run_until(crowd.loop.now + 9.0)
+        self.assertEqual((caller.answers, caller.losses), (1, []))
+
+    def upload(self, peer: Peer) -> None:
+        peer.send((ops.BEG, bytes(8 * PIECE)), 2, lambda parcel: None)
+
     def ask(self, peer: Peer, left: list[str]) -> None:
         peer.send((ops.BEG, 0), 0, lambda parcel: left.append(peer.ip))
 
