--- a/minthitch/clamp/budget.py
+++ b/minthitch/clamp/budget.py
@@ -24,9 +24,10 @@
 (minthitch.vise.purse). Time is counted in spans, each taken whole or left out, whichever is safe: of the 80
 of a window 77 earn and 87 are charged, so that under an even load 0.885 of the ratio is used at most.
 
-A run that is a repeat makes calls, which are charged at the vise beside its server, and earn nothing: as many
-as runs there make by the mean, and it is begun only where the budgets there have room for them. A request
-that its client abandons stays a request; its copies stay charged.
+Calls of servers are requests as clients' are. A run that is a repeat makes calls, which are charged at the
+vise beside its server, and earn nothing: as many as runs there make by the mean, and it is begun only where
+the budgets there have room for them. A request that its client abandons stays a request; its copies stay
+charged.
 
 What this does not bound: copies that a network held for longer than LATE (a line gives up after 2 s of
 silence), and calls of repeats beyond the mean. For these a part of the slack is never lent (LENT, in
