--- a/minthitch/forge/hall.py
+++ b/minthitch/forge/hall.py
@@ -43,10 +43,10 @@
 class Watcher:
     """A vise's line, and what it has been told."""
 
-    __slots__ = ("index", "version", "ip")
+    __slots__ = ("index", "version", "ip", "epoch")
 
     def __init__(self) -> None:
-        self.index, self.version, self.ip = -1, 0, ""
+        self.index, self.version, self.ip, self.epoch = -1, 0, "", 0
 
 
 class Hall:
@@ -305,8 +305,6 @@
                     self.push(False)
         elif op == ops.REPORT:
             self._report(line, message)
-        elif op == ops.WANT:
-            self.leases.heard(max(self.loop.time(), self.clock()), line, message)
         elif op == ops.CLAIM:
             self._claim(line, message)
         elif op == ops.FORWARD:
@@ -350,11 +348,12 @@
     # Vises ----------------------------------------------------------------------------------------
 
     def _report(self, line: Line, message: ops.Message) -> None:
-        record = Record(*message[2:])
+        record = Record(*message[2:-1])
         watcher = self.watchers.get(line)
         if watcher is None:
             watcher = self.watchers[line] = Watcher()
-            watcher.ip = record.ip
+            watcher.ip, watcher.epoch = record.ip, record.epoch
+        self.leases.heard(max(self.loop.time(), self.clock()), watcher, message[-1])
         if watcher.index < 0 or message[1] < watcher.index:
             watcher.index = message[1]
             self._push(line, watcher)
@@ -367,6 +366,7 @@
         self.rack.sweep(now)
         self._expire(now)
         self._rotate(now)
+        self.leases.share(max(now, self.clock()))
         self.push(True)
 
     def push(self, always: bool) -> None:
@@ -387,7 +387,7 @@
         leader = (core.leader or "").partition("#")[0]
         forges = tuple(member.partition("#")[0] for member in core.voters)
         line.send((ops.STATE, fresh, core.term, leader, forges, delta, whole and bool(changed),
-                   changed, dropped), 0)
+                   changed, dropped, self.leases.lease(max(self.loop.time(), self.clock()), watcher)), 0)
 
     # Membership and time --------------------------------------------------------------------------
 
--- a/minthitch/vise/front.py
+++ b/minthitch/vise/front.py
@@ -63,7 +63,6 @@
         self.purse = Purse(boot.terms.bounds, self.gatehouse)
         self.name = f"{boot.own.ip}/{epoch}"
         self.forges = Forges(self, self.port, self.name)
-        self.purse.forges = self.forges
         self.keys = Keys(self.forges, boot.terms.bounds.key_win_s, self.name, self.asks.ask)
         self.forges.know(tuple(seed.rpartition(":")[0] for seed in boot.net.seeds))
 
@@ -72,8 +71,11 @@
     def tell(self) -> None:
         self.forges.report()
 
-    def leased(self, message: ops.Message) -> None:
-        self.purse.leased(message)
+    def ask_lease(self) -> tuple[Any, ...]:
+        return self.purse.report()
+
+    def leased(self, term: int, lease: tuple[Any, ...] | None) -> None:
+        self.purse.leased(term, lease)
 
     def report(self) -> tuple[Any, ...]:
         self.seq += 1
--- a/minthitch/vise/links.py
+++ b/minthitch/vise/links.py
@@ -28,7 +28,8 @@
     def report(self) -> tuple[Any, ...]: ...
     def relay(self, message: ops.Message) -> bool: ...
     def beg(self, message: ops.Message) -> None: ...
-    def leased(self, message: ops.Message) -> None: ...
+    def ask_lease(self) -> tuple[Any, ...]: ...
+    def leased(self, term: int, lease: tuple[Any, ...] | None) -> None: ...
 
 
 class _Claim:
@@ -69,7 +70,7 @@
         say(Event.FORGE_UP, ip=ip)
         if rope.line is not None:
             self.by_line[rope.line] = ip
-        rope.send((ops.REPORT, self.replica.index, *self.host.report()), 0)
+        self._report_to(ip)
 
     def fell(self, line: Line) -> None:
         ip = self.by_line.pop(line, "")
@@ -96,17 +97,9 @@
             self._state(self.by_line.get(line, ""), message)
         elif message[0] == ops.CLAIMED:
             self.claimed(message)
-        elif message[0] == ops.LEASE:
-            self.host.leased(message)
-
-    def to_leader(self, message: ops.Message) -> None:
-        """Tells it, where it can be reached."""
-        rope = self.ropes.get(self.leader)
-        if rope is not None and rope.up:
-            rope.send(message, 0)
 
     def _state(self, ip: str, message: ops.Message) -> None:
-        _, fresh, term, leader, forges, delta, whole, changed, dropped = message
+        _, fresh, term, leader, forges, delta, whole, changed, dropped, lease = message
         if not ip:
             return
         config = False
@@ -123,6 +116,7 @@
         records = self.views.sweep(self.loop.time()) or records
         if term >= self.term and leader:
             self.term, self.leader = term, leader
+        self.host.leased(self.term, lease)
         if fresh:
             self.fresh[ip] = self.loop.time()
             self.fresh_seen = self.fresh_seen or self.replica.index > 0
@@ -159,7 +153,8 @@
     def _report_to(self, ip: str) -> None:
         rope = self.ropes[ip]
         if rope.up:
-            rope.send((ops.REPORT, self.replica.index, *self.host.report()), 0)
+            asked = self.host.ask_lease() if ip == self.leader else None
+            rope.send((ops.REPORT, self.replica.index, *self.host.report(), asked), 0)
 
     # Claims ---------------------------------------------------------------------------------------
 
--- a/minthitch/vise/purse.py
+++ b/minthitch/vise/purse.py
@@ -5,15 +5,13 @@
 import math
 import time
 from collections.abc import Iterator
+from typing import Any
 
 from minthitch.clamp.budget import EARLY, Budget
 from minthitch.clamp.lease import IDLE, Holder, Lease
 from minthitch.press.boot import Bounds
-from minthitch.pulley import ops
 from minthitch.vise.gatehouse import Gatehouse
-from minthitch.vise.links import Forges
 
-ASK_EVERY = 1.0  # seconds between two words to the leader, well within what a lease lasts
 LOOK = 0.25  # seconds between two looks at the time, and
 STALLED = LOOK + EARLY  # between two that tell of a freeze
 STALE_FOR = 0.1  # seconds after one in which what comes may have lain there for long
@@ -33,8 +31,6 @@
         self.bounds, self.gatehouse = bounds, gatehouse
         self.budgets: dict[str, Budget] = {}
         self.holder = Holder(lambda service, now: self.of(service).slack_spent(now))
-        self.forges: Forges | None = None
-        self.asked = float("-inf")  # when the leader was told last
         self.looked, self.stale_until = steady(), 0.0
         self.calls: dict[str, int] = {}  # by service: those that the own server has made
         self.charged: dict[str, float] = {}  # of them, those charged as calls of repeats
@@ -96,20 +92,17 @@
 
     # Leases ---------------------------------------------------------------------------------------
 
+    def report(self) -> tuple[Any, ...]:
+        """For the forge that leads. Comes twice a second."""
+        now = steady()
+        return tuple(self.holder.report(now, self._wanted(now)))
+
     def _look(self) -> None:
-        """It runs. The leader hears each second what is held and wanted, at once what could not be paid."""
+        """It runs."""
         self.timer = self.gatehouse.loop.call_later(LOOK, self._look)
         now = steady()
         self.stale(now)
         self.looked = now
-        pressed = any(b.denied and b.denied[-1] > self.asked for b in self.budgets.values())
-        if self.forges is None or not (pressed or now - self.asked >= ASK_EVERY):
-            return
-        self.holder.heard_of(self.forges.term)
-        rows = list(self._wanted(now))
-        if rows:
-            self.asked = now
-            self.forges.to_leader((ops.WANT, *self.holder.report(now, rows)))
 
     def _wanted(self, now: float) -> Iterator[tuple[str, int]]:
         for name, budget in self.budgets.items():
@@ -118,8 +111,10 @@
             elif self.holder.parts.get(name):
                 yield name, IDLE
 
-    def leased(self, message: ops.Message) -> None:
-        self.holder.take(steady(), Lease(*message[1:]))
+    def leased(self, term: int, lease: tuple[Any, ...] | None) -> None:
+        self.holder.heard_of(term)
+        if lease is not None:
+            self.holder.take(steady(), Lease(*lease))
 
     def close(self) -> None:
         self.timer.cancel()
