--- a/minthitch/vise/purse.py
+++ b/minthitch/vise/purse.py
@@ -108,7 +108,8 @@
         for name, budget in self.budgets.items():
             if not budget.idle(now):
                 yield name, budget.wanted(now)
-            elif self.holder.parts.get(name):
+            # Danger: what is not told is lent anew.
+            elif self.holder.parts.get(name) or budget.slack_spent(now):
                 yield name, IDLE
 
     def leased(self, term: int, lease: tuple[Any, ...] | None) -> None:
--- a/tests/mesh/test_budget.py
+++ b/tests/mesh/test_budget.py
@@ -507,6 +507,19 @@
         self.house.repeated = self.house.repeats = 1  # one is begun: its calls are spoken for
         self.assertFalse(self.purse.may_repeat())
 
+    def test_spent_slack_is_told_even_of_a_service_that_nobody_asks_for_any_more(self) -> None:
+        budget = self.purse.of("deep")
+        stamp = self.purse.holder.report(self.now, []).stamp
+        self.purse.holder.take(self.now, Lease(1, 1, stamp, (("deep", 3),)))
+        self.assertIsNotNone(budget.spend(self.now))
+        self.now += 7.0  # the lease has run out, the window of what was spent has not
+        self.assertEqual([row[:2] for row in self.told()], [("deep", 1)])
+        self.now += WINDOW
+        self.assertEqual(self.told(), [])
+
+    def told(self) -> list[Any]:
+        return list(self.purse.holder.report(self.now, self.purse._wanted(self.now)).rows)
+
     def test_after_a_freeze_nothing_is_earned_and_no_repeat_begun(self) -> None:
         self.now += 3.0
         self.purse.taken("deep", False)
