--- a/minthitch/pulley/line.py
+++ b/minthitch/pulley/line.py
@@ -19,7 +19,9 @@
 BEAT_WORD = HEAD.pack(2, 0, 1) + bytes((0x91, ops.PING))  # a whole piece; no message has the number 0
 ASK_WORD = HEAD.pack(3, 0, 1) + bytes((0x92, ops.PING, 0xC3))  # the same, to be answered
 OPEN_MOST = 120.0  # seconds after which something open counts no more: its answer was forgotten
-CONNECT = 1.0  # seconds for a connection to come up
+CONNECTS = (0.25, 0.25, 1.0)  # seconds for a connection to come up, in turn: one begun while the other was
+# dark hangs, and would hide its return; one on a choked link needs the time
+STALE = 0.1  # seconds after which one under way is begun anew once the other end is known to be there
 PAUSES = (0.05, 0.1, 0.2, 0.25)  # seconds between two tries: a restart must not be noticed late
 MOST_HELD = 96 * 1024 * 1024  # bytes that may wait to go out on one line
 
@@ -189,6 +191,7 @@
         self.on_up: Callable[[Rope], None] | None = None
         self.on_down: Callable[[Rope], None] | None = None
         self.ended = False
+        self.begun = 0.0  # when the connection under way was begun
 
     @property
     def up(self) -> bool:
@@ -197,18 +200,22 @@
     def start(self) -> None:
         """Connects, and again whenever the line falls."""
         if self.task is None and self.timer is None and not self.up and not self.ended:
+            self.begun = self.loop.time()
             self.task = self.loop.create_task(self._connect())
 
     async def _connect(self) -> None:
         line = Line(self)
         try:
-            async with asyncio.timeout(CONNECT):
+            async with asyncio.timeout(CONNECTS[self.tries % len(CONNECTS)]):
                 await self.loop.create_connection(lambda: line, *self.address)
         except (OSError, TimeoutError):
             self.task = None
             line.close()
             self._again()
             return
+        except asyncio.CancelledError:
+            line.close()  # danger: it may have come up in this very moment, and nobody holds it
+            raise
         self.task = None
         if self.ended:
             line.close()
@@ -233,6 +240,10 @@
     def nudge(self) -> None:
         """The other end is there, it has called: no pause any more."""
         self.tries = 0
+        if self.task is not None and self.loop.time() - self.begun > STALE:
+            self.task.cancel()  # danger: its first packet met a dark machine, the next goes a second later
+            self.task = None
+            self.start()
         if self.timer is not None:
             self.timer.cancel()
             self._retry()
--- a/tests/mesh/test_size.py
+++ b/tests/mesh/test_size.py
@@ -10,7 +10,7 @@
 from minthitch.forge import pushes
 from minthitch.forge.pushes import GATHER
 from minthitch.pulley import ops, squeeze
-from minthitch.pulley.line import DEAD
+from minthitch.pulley.line import DEAD, STALE
 from minthitch.pulley.pieces import PIECE, Broken
 from minthitch.rack.table import GONE_AFTER, Rack, Record, Views, newer, told
 from minthitch.scribe.events import LOG
@@ -165,6 +165,24 @@
         crowd.loop.run_until(crowd.loop.now + 2 * DEAD)
         self.assertEqual(caller.losses, [peer.ip])
 
+    def test_a_connection_that_met_a_dark_machine_does_not_hide_its_return(self) -> None:
+        crowd = self.crowd()
+        vise = crowd.told[-1]
+        assert vise.forges is not None
+        rope = vise.forges.ropes[FORGES[0]]
+        way = (vise.ip, FORGES[0])
+        crowd.network.cut(*way)
+        crowd.loop.run_until(crowd.loop.now + 2 * DEAD)
+        for _ in range(200):  # until a connection has been under way for a while
+            if rope.task is not None and crowd.loop.now - rope.begun > STALE:
+                break
+            crowd.loop.run_until(crowd.loop.now + 0.01)
+        self.assertFalse(rope.up)
+        crowd.network.heal([way])
+        crowd.loop.after(0.0, vise.machine, rope.nudge)
+        crowd.loop.run_until(crowd.loop.now + 0.02)
+        self.assertTrue(rope.up)
+
     def call(self, peer: Peer, ident: int, left: list[str]) -> None:
         message = (ops.CALL, ident, "no life", 9.0, 9.0, 1, 1, b"POST", b"/", (), b"", b"id", b"a", "route")
         peer.send(message, 0, lambda parcel: left.append(peer.ip), once=True)
