--- a/rigs/meshlab/mesh.py
+++ b/rigs/meshlab/mesh.py
@@ -153,8 +153,8 @@
         self.site.say("table", self.ip, life=self.starts, index=front.forges.replica.index, rows=rows)
 
     def leave(self) -> None:
-        """As its program does after SIGTERM."""
-        if self.front is not None:
+        """As its program does after SIGTERM; a second one changes nothing."""
+        if self.front is not None and not self.front.leaving:
             now = self.loop.now + self.machine.offset
             shut, last = now + max(SHUT_PART * GRACE, LINGER), now + GRACE - LAST - ANSWERED
             self.loop.after(0.0, self.machine, self.front.leave, shut, last)
