--- a/rigs/meshlab/size.py
+++ b/rigs/meshlab/size.py
@@ -193,6 +193,7 @@
         self.network = self.metered = _Network(self.loop)
         self.make_hall, self.sync = Hall, SYNC
         self.routes = routes
+        self.writes = []
         self.forges = [Forge(self, ip) for ip in FORGES]
         self.told = [Told(self, f"10.0.{n % len(ZONES)}.{10 + n}", f"svc-{n % SERVICES}", n < KEEP)
                      for n in range(count)]
--- a/tests/mesh/test_meshlab.py
+++ b/tests/mesh/test_meshlab.py
@@ -157,7 +157,8 @@
         self.found("a key freed that may have run", "ONCE", [Fault(4.0, "reset-vise", 3, 0.1)])
 
     def test_claims_forgotten_by_a_new_leader(self) -> None:
-        self.found("a new leader that rotates too soon", "ONCE")
+        again = [Fault(3.0 + second, "kill-forge", -1, 0.4) for second in range(5)]
+        self.found("a new leader that rotates too soon", "ONCE", again)
 
     def test_keys_not_claimed(self) -> None:
         self.found("keys not claimed", "ONCE")
