--- a/minthitch/vise/links.py
+++ b/minthitch/vise/links.py
@@ -23,8 +23,10 @@
 Claimed = Callable[[str, str, bytes, bytes], None]  # verdict, owner, claim, digest
 DOUBT = 1.0  # seconds of silence after which a line to another vise is asked before it is used,
 DOUBT_ONCE = 0.2  # and by what may not be repeated: what is written to a dead one may have run, and is over
-HOLD = 0.15  # seconds that a call waits for a line or for its answer before it is to go elsewhere
-PROBE = 0.5  # seconds for the answer, then a line with nothing open is given up
+HOLD = 0.15  # seconds that a call waits for a line or its answer before it is to go elsewhere, or
+HOLD_WORDS = 4.0  # so many times what an answer took there: on a thin link it comes behind uploads
+PROBE = 1.5  # seconds for the answer, then a line with nothing open is given up
+WORD_KEEPS = 0.7  # weight of what is known when an answer came quicker; a slower one counts at once
 PEER = "another vise"  # whose view stands in where no forge can be reached
 GRANTED, HELD, FULL, NO_LEADER = "granted", "held", "full", "no leader"
 
@@ -273,6 +275,7 @@
         self.loop = asyncio.get_running_loop()
         self.probe: asyncio.TimerHandle | None = None  # while the line is asked
         self.holding: asyncio.TimerHandle | None = None  # while calls wait
+        self.asked, self.word = 0.0, 0.0  # when the line was asked; seconds that its answers take
         self.pending: list[tuple[ops.Message, int, Callable[[Any], None]]] = []
 
     def send(self, message: ops.Message, rank: int, left: Callable[[Any], None], once: bool = False) -> None:
@@ -287,12 +290,18 @@
             return
         self.pending.append((message, rank, left))
         if message[0] == ops.CALL and self.holding is None:
-            self.holding = self.loop.call_later(HOLD, self._held)
+            hold = min(max(HOLD, HOLD_WORDS * self.word), PROBE)
+            self.holding = self.loop.call_later(hold, self._held)
         if line is None:
             self.rope.start()
         elif self.probe is None:
-            self.probe = self.loop.call_later(PROBE, self._unheard, line)
-            line.ask(lambda: self._up(self.rope))
+            self.probe, self.asked = self.loop.call_later(PROBE, self._unheard, line), self.loop.time()
+            line.ask(self._answers)
+
+    def _answers(self) -> None:
+        took = self.loop.time() - self.asked
+        self.word = max(took, WORD_KEEPS * self.word + (1.0 - WORD_KEEPS) * took)
+        self._up(self.rope)
 
     def _held(self) -> None:
         """Calls that no line has taken go elsewhere; what else waits goes on waiting."""
