--- a/minthitch/cli/mesh.py
+++ b/minthitch/cli/mesh.py
@@ -4,10 +4,10 @@
 
 import sys
 import time
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, ClassVar
 from urllib.parse import quote
 
 import cappa
@@ -89,14 +89,13 @@
         return 0
 
 
+@dataclass
 class _Asks:
     """What is asked of running processes' status, shown as a table or, for programs, as JSON."""
 
-    addresses: list[str]
-    as_json: bool
-
-    def lines(self, found: shown.Statuses) -> list[str]:
-        raise NotImplementedError
+    addresses: Addresses
+    as_json: AsJson = False
+    table: ClassVar[Callable[[shown.Statuses], list[str]]]
 
     def run(self) -> int:
         """Exit code 2 where one of them did not answer, after what the others told."""
@@ -105,7 +104,7 @@
             one = found[self.addresses[0]] if len(self.addresses) == 1 else found
             print(json.format(json.encode(one), indent=2).decode())
         elif found:
-            print("\n".join(self.lines(found)))
+            print("\n".join(type(self).table(found)))
         for line in silent:
             print(f"minthitch: mesh: {line}", file=sys.stderr)
         return 2 if silent else 0
@@ -115,33 +114,21 @@
 class Status(_Asks):
     """Ask running forges and vises what they know: one table; all there is with --json."""
 
-    addresses: Addresses
-    as_json: AsJson = False
-
-    def lines(self, found: shown.Statuses) -> list[str]:
-        return shown.status(found)
+    table = shown.status
 
 
 @dataclass
 class Keys(_Asks):
     """Claims at the forges, operations by state at the vises."""
 
-    addresses: Addresses
-    as_json: AsJson = False
-
-    def lines(self, found: shown.Statuses) -> list[str]:
-        return shown.keys(found)
+    table = shown.keys
 
 
 @dataclass
 class Budget(_Asks):
     """Further arrivals: what each vise has spent and has left for each service, largest spender first."""
 
-    addresses: Addresses
-    as_json: AsJson = False
-
-    def lines(self, found: shown.Statuses) -> list[str]:
-        return shown.budget(found)
+    table = shown.budget
 
 
 @dataclass
