Read once more: a line's two timers end in one place

A call's wait and the question on its line were always ended together, by two methods called side by side in three places; now by one.

--- a/minthitch/vise/links.py
+++ b/minthitch/vise/links.py
@@ -316,26 +316,20 @@
         if not line.open:  # what is open may have run and be answered yet: there the line's own beat decides
             line.close()  # danger: a new try might wait behind a cut for as long again
 
-    def _no_probe(self) -> None:
-        if self.probe is not None:
-            self.probe.cancel()
-            self.probe = None
+    def _wait_no_more(self) -> None:
+        for timer in (self.probe, self.holding):
+            if timer is not None:
+                timer.cancel()
+        self.probe = self.holding = None
 
     def _up(self, rope: Rope) -> None:
-        self._no_probe()
-        self._no_hold()
+        self._wait_no_more()
         pending, self.pending = self.pending, []
         for message, rank, left in pending:
             left(rope.send(message, rank))
 
-    def _no_hold(self) -> None:
-        if self.holding is not None:
-            self.holding.cancel()
-            self.holding = None
-
     def _down(self, rope: Rope) -> None:
-        self._no_probe()
-        self._no_hold()
+        self._wait_no_more()
         self.pending.clear()
         self.host.lost(self)
         if rope.timer is not None:  # it is tried again when there is something to send
@@ -349,6 +343,5 @@
         pass  # `_down` follows
 
     def close(self) -> None:
-        self._no_probe()
-        self._no_hold()
+        self._wait_no_more()
         self.rope.close()
