Sight: what is open as a sidecar ends, and calls given up after two seconds

Ruled out: nothing yet; logic is unchanged. Change: E210 and E211, replies counted in the last second are logged before the end.

--- a/minthitch/mesh/events/events.py
+++ b/minthitch/mesh/events/events.py
@@ -33,6 +33,12 @@
     PEER_DOWN = 207, logging.WARNING, "connection to {ip} lost, {open} requests in flight"
     REFUSED = 208, logging.WARNING, "local replies in the last second: {kinds}"
     TRACED = 209, logging.INFO, "requests are traced {state}"
+    UNANSWERED = (
+        210,
+        logging.WARNING,
+        "request {request} on {route} open for {age:.1f} s at the end: {state}",
+    )
+    ABANDONED = 211, logging.WARNING, "call on {route} abandoned by {caller} after {age:.1f} s: {state}"
     LEADS = 301, logging.INFO, "became leader in term {term}"
     FOLLOWS = 302, logging.INFO, "following {leader} in term {term}"
     NO_LEADER = 303, logging.WARNING, "no leader in term {term}"
--- a/minthitch/mesh/sidecar/admission.py
+++ b/minthitch/mesh/sidecar/admission.py
@@ -22,6 +22,7 @@
 
 PAST = 16  # lives of servers that are over and remembered: their late beats mean nothing
 LOWEST = 99  # a rank behind which nobody waits
+LONG_S = 2.0  # seconds after which a call that is given up is worth a line in the log
 LATE = 0.05  # seconds beyond the deadline in which the server's own word on it may still come
 UNREACHED = Status.CONNECT_FAILED.value
 REPEAT_WAITS = 0.5  # seconds in the queue after which a further copy is not begun: it was paid in its window
@@ -233,12 +234,21 @@
         if job is None or job.over:
             return
         job.over = True
+        self._log_if_long(job)
         if job.errand is not None:
             job.errand.cancel()
         else:
             self.gate.remove(job)
             self._forget(job)
 
+    def _log_if_long(self, job: Job) -> None:
+        age = self.loop.time() - job.came
+        if age < LONG_S:
+            return
+        state = "queued" if job.errand is None else f"running for {self.loop.time() - job.began:.1f} s"
+        caller = job.caller.decode(errors="replace")
+        log_event(Event.ABANDONED, route=job.route, caller=caller, age=age, state=state)
+
     def fell(self, origin: Hashable) -> None:
         """The asker's line is gone. What may be repeated is given up; what may not runs on to its end."""
         jobs = [job for key, job in self.jobs.items() if isinstance(key, tuple) and key[0] == origin]
@@ -246,6 +256,8 @@
         for job in sorted(jobs, key=lambda job: job.errand is not None):
             if job.errand is None or not job.flags & ONCE:
                 self.cancel(origin, job.ident)
+            else:
+                self._log_if_long(job)
 
     def record(self) -> tuple[Any, ...]:
         """What others are told of the server: life, slots, state, cold seconds."""
--- a/minthitch/mesh/sidecar/front.py
+++ b/minthitch/mesh/sidecar/front.py
@@ -194,6 +194,8 @@
 
     def _say_counts(self) -> None:
         counts, self.counts = self.counts, {}
+        if not counts:
+            return
         most = sorted(counts.items(), key=lambda item: -item[1])[:COUNTS_SAID]
         log_event(Event.REFUSED, kinds=", ".join(f"{number} {name}" for name, number in most))
 
@@ -232,6 +234,16 @@
     def open(self) -> int:
         return len(self.trips) + len(self.admission.jobs)
 
+    def log_unanswered(self) -> None:
+        """Logs each request whose client still waits, and the replies that are not logged yet."""
+        now = self.loop.time()
+        for trip in self.trips:
+            if not trip.answered:
+                request = trip.identity.decode(errors="replace")
+                age, state = now - trip.began, trip.describe(now)
+                log_event(Event.UNANSWERED, request=request, route=trip.route.name, age=age, state=state)
+        self._say_counts()
+
     def status(self) -> dict[str, Any]:
         """What this sidecar knows and does now, for operators."""
         gate = self.admission.gate
--- a/minthitch/mesh/sidecar/program.py
+++ b/minthitch/mesh/sidecar/program.py
@@ -80,6 +80,7 @@
     # Danger: an answer that is written may not have left yet, and ends with the process.
     while loop.time() < until and (loop.time() < began + LINGER or front.open() or unsent()):
         await asyncio.sleep(LOOK)
+    front.log_unanswered()
     log_event(Event.ENDED, after=loop.time() - began, open=front.open())
     lines.close()
     for _, listener in doors:
--- a/minthitch/mesh/sidecar/trip.py
+++ b/minthitch/mesh/sidecar/trip.py
@@ -47,6 +47,10 @@
         """Whether the other end may have it whole."""
         return self.parcel is not None and bool(self.parcel.whole)
 
+    def describe(self, now: float) -> str:
+        """Where it is, for the log."""
+        return f"{'sent' if self.left else 'not sent'} to {self.target.ip} {now - self.sent:.1f} s ago"
+
 
 class Trip:
     """Sends, hears outcomes, answers once. Times are the loop's seconds."""
@@ -354,6 +358,14 @@
             self.front.retry_budget.of(self.service).refund(self.paid.pop())
         self.front.over(self)
 
+    def describe(self, now: float) -> str:
+        """Where it is, for the log."""
+        if self.out:
+            return ", ".join(attempt.describe(now) for attempt in self.out.values())
+        if self.route.kind == "keyed" and self.operation is None:
+            return f"waiting for its key, claimed by {self.holder or 'nobody known'}"
+        return f"between attempts, {self.arrivals} made"
+
     def abandoned(self) -> None:
         """Its client has gone: what may be repeated is given up, what may not runs to its outcome."""
         self.answered = True
