--- a/rigs/simulation/fault_injector.py
+++ b/rigs/simulation/fault_injector.py
@@ -285,6 +285,7 @@
     def _shut_down(self, fault: Fault, sidecar: SidecarNode) -> None:
         """SIGTERM, and the end of its process once nothing is open."""
         began, life = self.loop.now, sidecar.machine.life
+        self.site.say("sigterm", sidecar.ip)
         sidecar.leave()
 
         def end_when_idle() -> None:
--- a/rigs/simulation/people.py
+++ b/rigs/simulation/people.py
@@ -20,6 +20,7 @@
 TIMEOUT = 3.0  # of the routes; a client's own deadline lies below
 GOAL = 0.5
 SLACK = 0.3  # seconds beyond its deadline that a client still listens
+DEADLINES = (0.6, 1.5, 2.5)  # seconds: a client draws one of these
 EARLY = 0.03  # part of all requests that their clients leave early, if they are not answered by then
 MOST_TRIES = 4
 PATIENCE = 1.5  # seconds that an operator waits for an answer
@@ -58,9 +59,12 @@
 class People:
     """Who asks at the sidecars."""
 
-    def __init__(self, site: Site, rate: float, until: float) -> None:
+    def __init__(
+        self, site: Site, rate: float, until: float, deadlines: tuple[float, ...] = DEADLINES
+    ) -> None:
         self.site, self.loop, self.random = site, site.loop, site.random
         self.rate, self.until, self.count = rate, until, 0
+        self.deadlines = deadlines
 
     def start(self) -> None:
         for sidecar in self.site.sidecars:
@@ -113,7 +117,7 @@
         self.count += 1
         name = f"q{self.count}"
         place, service = to or next((place, service) for k, place, service, _ in KINDS if k == kind)
-        seconds = deadline or self.random.choice((0.6, 1.5, 2.5))
+        seconds = deadline or self.random.choice(self.deadlines)
         item = _incoming(kind, place, name, key, seconds, self.random)
         self.site.say("asked", sidecar.ip, id=name, key=key, kind=kind, service=service, deadline=seconds)
         client = SimClientConnection(self, sidecar, name, done)
@@ -178,11 +182,11 @@
     }
 
 
-def first_items() -> dict[str, Any]:
+def first_items(timeout: float = TIMEOUT) -> dict[str, Any]:
     return {
         "Upsert": {
             "Svcs": [{"Name": name, "Ver": "00000001"} for name in SERVICES],
-            "Routes": [route(kind, 1, place, kind, service) for kind, place, service, _ in KINDS],
+            "Routes": [route(kind, 1, place, kind, service, timeout) for kind, place, service, _ in KINDS],
         }
     }
 
@@ -190,14 +194,14 @@
 class Operators:
     """They change items at any control node, and ask again until the answer is clear."""
 
-    def __init__(self, site: Site, every: float, until: float) -> None:
+    def __init__(self, site: Site, every: float, until: float, timeout: float = TIMEOUT) -> None:
         self.site, self.loop, self.random = site, site.loop, site.random
-        self.every, self.until = every, until
+        self.every, self.until, self.timeout = every, until, timeout
         self.vers = [0] * ITEMS
         self.taken: list[dict[str, Any]] = []  # calls that were acknowledged
 
     def start(self) -> None:
-        self.loop.after(0.5, self.loop.world, self.patch, first_items(), "proper")
+        self.loop.after(0.5, self.loop.world, self.patch, first_items(self.timeout), "proper")
         self.loop.after(3.0, self.loop.world, self._next)
 
     def _next(self) -> None:
--- /dev/null
+++ b/rigs/simulation/planned_work.py
@@ -0,0 +1,77 @@
+"""Days of planned work and nothing else.
+
+Many sidecars are shut down at once, under load, while servers are slow or fall silent and the configuration
+changes. Some clients wait longer than a shutdown takes.
+"""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+from rigs.simulation.mesh import GRACE, SIDECARS, Site
+from rigs.simulation.people import Operators, People
+from rigs.simulation.play import Day, Played, play
+from rigs.simulation.schedule import Fault
+
+FIRST_S, LAST_S = 3.0, 12.0  # of these days: the first SIGTERM, and the end of slow and silent servers
+DEADLINES = (1.5, 0.7 * GRACE, 1.2 * GRACE, 1.6 * GRACE)  # seconds: some end after the shutdown does
+TIMEOUT = 2.0 * GRACE
+
+
+def draw_planned_work(seed: int) -> tuple[list[Fault], Day]:
+    """Draws which sidecars are shut down and when, and how servers and operators behave meanwhile."""
+    draw = random.Random(seed ^ 0x51674E)
+    schedule = []
+    at, until = FIRST_S + draw.uniform(0.0, 1.0), LAST_S - GRACE
+    while at < until:
+        spread = draw.choice((0.02, 0.5, 1.5))
+        for target in draw.sample(range(len(SIDECARS)), draw.randrange(2, len(SIDECARS))):
+            schedule.append(Fault(round(at + draw.uniform(0.0, spread), 3), "leave-sidecar", target))
+        at += GRACE + spread + draw.uniform(0.5, 1.5)
+    day = Day(
+        seconds=LAST_S + 2.0,
+        rate=draw.choice((2.0, 5.0, 10.0)),
+        every=draw.choice((0.2, 0.8)),
+        quiet=9.0,
+        failure_rate=draw.choice((0.0, 0.02)),
+        deadlines=DEADLINES,
+        timeout=TIMEOUT,
+        deeds=(
+            (2.5, _servers(draw.choice((1.0, 6.0, 30.0)), draw.choice((0.0, 0.02, 0.1)))),
+            (LAST_S, _servers()),
+        ),
+    )
+    return sorted(schedule), day
+
+
+def _servers(slowdown: float = 1.0, silent_rate: float = 0.0) -> Any:
+    def deed(site: Site, people: People, operators: Operators) -> None:
+        for sidecar in site.sidecars:
+            sidecar.server.slowdown, sidecar.server.silent_rate = slowdown, silent_rate
+
+    return deed
+
+
+def play_planned_work(seed: int) -> Played:
+    """Plays the day drawn from this seed."""
+    schedule, day = draw_planned_work(seed)
+    return play(seed, schedule, day)
+
+
+def main(argv: list[str]) -> None:
+    """`python -m rigs.simulation.planned_work FIRST COUNT`: what each of these days broke."""
+    first, count = int(argv[0]), int(argv[1])
+    broken = 0
+    for seed in range(first, first + count):
+        found = play_planned_work(seed).broken
+        broken += bool(found)
+        for text in found[:3]:
+            print(f"seed {seed}: {text}")
+    print(f"planned work: {broken} of {count} days broken")
+
+
+if __name__ == "__main__":
+    import sys
+
+    main(sys.argv[1:])
--- a/rigs/simulation/play.py
+++ b/rigs/simulation/play.py
@@ -24,7 +24,7 @@
 from rigs.simulation.loop import VirtualLoop
 from rigs.simulation.mesh import CONTROLS, MakeControl, MakeFront, Site
 from rigs.simulation.network import Network
-from rigs.simulation.people import Operators, People
+from rigs.simulation.people import DEADLINES, TIMEOUT, Operators, People
 from rigs.simulation.schedule import Fault, draw_schedule
 
 SNAPSHOT_INTERVALS = (10, 25, 60)  # entries between two images; a day has some 250
@@ -41,6 +41,8 @@
     every: float = 0.8  # seconds between two changes of the configuration
     quiet: float = 7.0  # seconds after the last fault, in which all comes right again
     failure_rate: float | None = None  # share of requests that go wrong at their server; None: drawn
+    deadlines: tuple[float, ...] = DEADLINES  # of clients, in seconds
+    timeout: float = TIMEOUT  # of the routes, in seconds
     deeds: tuple[tuple[float, Deed], ...] = ()
     make_control: MakeControl = ControlServer
     make_front: MakeFront = Front
@@ -89,8 +91,8 @@
 
 def _run(site: Site, schedule: list[Fault], day: Day) -> None:
     loop = site.loop
-    people = People(site, day.rate, day.seconds + day.quiet - 2.0)
-    operators = Operators(site, day.every, day.seconds)
+    people = People(site, day.rate, day.seconds + day.quiet - 2.0, day.deadlines)
+    operators = Operators(site, day.every, day.seconds, day.timeout)
     faults = FaultInjector(site, schedule)
     site.start(day.failure_rate)
     people.start()
--- a/rigs/simulation/servers.py
+++ b/rigs/simulation/servers.py
@@ -15,6 +15,7 @@
 HEARTBEAT_INTERVAL_S = 0.5
 SIDECAR_DELAY_S = 0.0005  # between a sidecar and its server
 KEY = b"x-idempotency-key"
+SILENT = -1  # in place of a status: it ran, and nothing is ever said of it
 
 
 class Surroundings(Protocol):
@@ -111,6 +112,7 @@
         self.state, self.seq = "up", 0
         self.running: dict[UpstreamCall, SimServerPool] = {}
         self.failure_rate = 0.02  # of answers that are lost, broken off, late or failures
+        self.silent_rate = 0.0  # of requests that run and are never answered: the connection stays open
         self.stalled_until = 0.0
         self.slowdown = 1.0  # factor on the time that a request takes
         self.nested_call: NestedCall | None = None  # runs first in each request: (sidecar, id, continuation)
@@ -210,6 +212,8 @@
             status = draw.choice((0, 0, 500, 200))  # no answer at all, broken off, a failure, late
             duration = 9.0 if status == 0 and luck < self.failure_rate / 2 else duration
             duration += draw.uniform(0.5, 3.0) if status == 200 else 0.0
+        if self.silent_rate and draw.random() < self.silent_rate:
+            status = SILENT
         duration = max(duration, self.stalled_until - self.loop.now)
         self.running[call] = pool
         body = f"{key or name} by {self.life}".encode()
@@ -227,6 +231,8 @@
             return
         name = call.identity
         self.site.say("served", self.sidecar.ip, id=name.decode(), status=status, body=body.decode())
+        if status == SILENT:
+            return
         if status == 0:
             pool.ended(call, None)
             return
