A sidecar that shuts down answers what it accepted before SIGTERM, too

Cause: Front.leave noted the time by which all has to be answered, and only requests accepted later read it; those accepted before kept their client's deadline (5.8 s and more) beyond the end of the process, 5.4 s after SIGTERM. Class: a bound that an object copies when it is made does not reach the objects that exist. Change: Front.leave limits the deadlines of open requests and of calls in the gate's queue; ShutdownSchedule has all the times, also for the simulation; nothing is accepted later than 2.8 s after SIGTERM (3.48 s before), as a server at work on it at the end would count. GraceS under 4.3 s is warned of (3.1 s before, which refused clients all the same).

--- a/minthitch/cli/settings.py
+++ b/minthitch/cli/settings.py
@@ -11,9 +11,10 @@
 from minthitch.mesh.configuration import settings
 from minthitch.mesh.control import program as control
 from minthitch.mesh.sidecar import program as sidecar
+from minthitch.mesh.sidecar.shutdown_schedule import ACCEPT_FRACTION, LINGER_S
 
 NEEDS = {"sidecar": sidecar.needs, "ctl": control.required_settings}  # by what a process serves
-LEAST_GRACE = sidecar.LINGER + sidecar.LAST  # seconds that a sidecar needs to leave without a refused client
+LEAST_GRACE = LINGER_S / ACCEPT_FRACTION  # seconds that a sidecar needs to leave without a refused client
 SEEDS = 3  # machines that found a group
 
 
@@ -39,7 +40,8 @@
         yield "Self.Init=true: right for the first start of the whole system only; set it to false after it"
     grace = found.terms.bounds.grace_s
     if "sidecar" in own.serves and grace < LEAST_GRACE:
-        yield f"Terms.Bnd.GraceS={grace:g}: a sidecar needs {LEAST_GRACE:g} to leave without a refused client"
+        needs = f"a sidecar needs {LEAST_GRACE:.1f} to leave without a refused client"
+        yield f"Terms.Bnd.GraceS={grace:g}: {needs}"
     if first == last:
         yield f"Net.PortRange={first},{last}: one port: the lines need no more today, a later version may"
     known = set(_known(settings.NodeSettings, ""))
--- a/minthitch/mesh/sidecar/admission.py
+++ b/minthitch/mesh/sidecar/admission.py
@@ -5,6 +5,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import time
 from collections import deque
 from collections.abc import Callable, Hashable
@@ -51,12 +52,14 @@
         "route",
     )
 
-    def __init__(self, key: Hashable, reply: Reply, message: ops.Message, now: float) -> None:
+    def __init__(
+        self, key: Hashable, reply: Reply, message: ops.Message, now: float, latest: float = math.inf
+    ) -> None:
         _, ident, life, left, _, _, flags, method, target, fields, body, identity, caller, route = message
         self.key, self.ident, self.life, self.flags, self.reply = key, ident, life, flags, reply
         self.message = Message(method, target, fields, body)
         self.identity, self.caller, self.route = identity, caller, route
-        self.deadline = now + left
+        self.deadline = min(now + left, latest)
         self.errand: UpstreamCall | None = None
         self.came, self.began = now, 0.0
         self.timer: asyncio.TimerHandle | None = None
@@ -78,6 +81,7 @@
         self.jobs: dict[Hashable, Job] = {}
         self.runs = self.repeated = 0  # begun at the server, and those of them that are further copies
         self.repeats = 0  # further copies that run now: their calls are repeats too
+        self.latest = math.inf  # by when all calls have to end: this process ends then
         self.may_repeat: Callable[[], bool] = lambda: True  # whether their calls could be paid
 
     # The server's own word ------------------------------------------------------------------------
@@ -130,8 +134,8 @@
 
     def call(self, origin: Hashable, reply: Reply, message: ops.Message) -> None:
         now = self.loop.time()
-        job = Job((origin, message[1]), reply, message, now)
-        if self.state != "up" or job.life != self.life:
+        job = Job((origin, message[1]), reply, message, now, self.latest)
+        if self.state != "up" or job.life != self.life or now >= self.latest:
             self._busy(job, "gone", False)
             return
         if job.flags & REPEAT and not self.may_repeat():
@@ -142,12 +146,13 @@
             self._busy(job, "stuck", False)
             return
         needs = self.gate.needs(job.route, message[4])
-        verdict = self.gate.arrive(now, QueuedRequest(job, message[5], now + message[4], job.deadline, needs))
+        due = min(now + message[4], self.latest)
+        verdict = self.gate.arrive(now, QueuedRequest(job, message[5], due, job.deadline, needs))
         if verdict is None:
             self._busy(job, "full", False)
             return
         self.jobs[job.key] = job
-        job.timer = self.loop.call_later(message[3] + LATE, self._late, job)
+        job.timer = self.loop.call_at(job.deadline + LATE, self._late, job)
         if verdict:
             self._start(job)
 
@@ -259,6 +264,14 @@
             else:
                 self._log_if_long(job)
 
+    def limit_deadlines(self, latest: float) -> None:
+        """Calls that have not begun by `latest` are rejected in time: this process ends soon after."""
+        self.latest = latest
+        for waiting in self.gate.queue:
+            waiting.deadline = min(waiting.deadline, latest)
+            waiting.job.deadline = waiting.deadline
+        self.loop.call_at(latest, self._turn_away_queue, "leaving")
+
     def record(self) -> tuple[Any, ...]:
         """What others are told of the server: life, slots, state, cold seconds."""
         return self.life, self.slots, self.state, max(self.cold_until - self.loop.time(), 0.0)
--- a/minthitch/mesh/sidecar/front.py
+++ b/minthitch/mesh/sidecar/front.py
@@ -25,6 +25,7 @@
 from minthitch.mesh.sidecar.links import ControlLinks
 from minthitch.mesh.sidecar.offers import OfferReceiver
 from minthitch.mesh.sidecar.retry_budget import RetryBudget
+from minthitch.mesh.sidecar.shutdown_schedule import ShutdownSchedule
 from minthitch.mesh.sidecar.trip import Trip
 from minthitch.mesh.transport import ops
 from minthitch.mesh.transport.connection import Connection
@@ -226,9 +227,13 @@
 
     # The end ----------------------------------------------------------------------------------------
 
-    def leave(self, shut: float, last: float) -> None:
-        """No new clients are wanted; what comes until `shut` is taken, and answered by `last` (loop's s)."""
-        self.leaving, self.shut, self.last = True, shut, last
+    def leave(self, schedule: ShutdownSchedule) -> None:
+        """No new clients are wanted; what is open or still accepted is answered in the schedule's time."""
+        self.leaving, self.shut, self.last = True, schedule.reject_from, schedule.answer_by
+        # Danger: these have their clients' deadlines, and the end of the process would cut them off.
+        for trip in self.trips:
+            trip.limit_deadline(schedule.answer_by)
+        self.admission.limit_deadlines(schedule.answer_by)
         self.tell()
 
     def open(self) -> int:
--- a/minthitch/mesh/sidecar/program.py
+++ b/minthitch/mesh/sidecar/program.py
@@ -13,12 +13,9 @@
 from minthitch.mesh.http.runtime import run, seeds
 from minthitch.mesh.sidecar.front import Front
 from minthitch.mesh.sidecar.handlers import Counter
+from minthitch.mesh.sidecar.shutdown_schedule import ShutdownSchedule
 from minthitch.mesh.transport.connection import Connection
 
-LINGER = 2.5  # seconds after SIGTERM in which clients may still come: the platform looks once a second
-SHUT_PART = 0.58  # of GraceS after which what still comes is refused: where most nodes leave, clients stay
-LAST = 0.6  # seconds before GraceS by which the process ends in any case
-ANSWERED = 0.2  # seconds before that by which all is answered
 LOOK = 0.1  # seconds between two looks at what is open while it ends
 RESERVE = 200  # descriptors for files, lines and listeners
 RESIDENT_MB = 60.0  # megabytes that the process holds without long bodies
@@ -72,16 +69,14 @@
     loop.add_signal_handler(signal.SIGHUP, lambda: front.controls.know(seeds()))
     log_event(Event.STARTED, program="sidecar", node=boot.own.node, zone=boot.own.az)
     await ending.wait()
-    began = loop.time()
     log_event(Event.SIGTERM, open=front.open())
-    grace = boot.terms.bounds.grace_s
-    until = began + grace - LAST
-    front.leave(began + max(SHUT_PART * grace, LINGER), until - ANSWERED)
+    schedule = ShutdownSchedule(loop.time(), boot.terms.bounds.grace_s)
+    front.leave(schedule)
     # Danger: an answer that is written may not have left yet, and ends with the process.
-    while loop.time() < until and (loop.time() < began + LINGER or front.open() or unsent()):
+    while not schedule.may_end(loop.time(), is_idle=not front.open() and not unsent()):
         await asyncio.sleep(LOOK)
     front.log_unanswered()
-    log_event(Event.ENDED, after=loop.time() - began, open=front.open())
+    log_event(Event.ENDED, after=loop.time() - schedule.began_at, open=front.open())
     lines.close()
     for _, listener in doors:
         listener.close()
--- a/minthitch/mesh/sidecar/trip.py
+++ b/minthitch/mesh/sidecar/trip.py
@@ -125,6 +125,12 @@
         else:
             self._send()
 
+    def limit_deadline(self, latest: float) -> None:
+        """It is answered by `latest`, where its own deadline is later."""
+        if latest < self.deadline:
+            self.deadline = latest
+            self.timers.append(self.front.loop.call_at(latest, self._out_of_time))
+
     # Keyed ----------------------------------------------------------------------------------------
 
     def give_up_at(self) -> float:
--- a/rigs/simulation/mesh.py
+++ b/rigs/simulation/mesh.py
@@ -22,7 +22,7 @@
 from minthitch.mesh.control.state_machine import StateMachine
 from minthitch.mesh.sidecar.front import Front
 from minthitch.mesh.sidecar.links import Claimed
-from minthitch.mesh.sidecar.program import ANSWERED, LAST, LINGER, SHUT_PART
+from minthitch.mesh.sidecar.shutdown_schedule import ShutdownSchedule
 from minthitch.mesh.storage.store import Store
 from minthitch.mesh.storage.writer import StorageWriter
 from minthitch.mesh.transport.connection import Connection
@@ -226,13 +226,12 @@
     def leave(self) -> None:
         """As its program does after SIGTERM; a second one changes nothing."""
         if self.front is not None and not self.front.leaving:
-            now = self.loop.now + self.machine.offset
-            shut, last = now + max(SHUT_PART * GRACE, LINGER), now + GRACE - LAST - ANSWERED
-            self.loop.after(0.0, self.machine, self.front.leave, shut, last)
+            schedule = ShutdownSchedule(self.loop.now + self.machine.offset, GRACE)
+            self.loop.after(0.0, self.machine, self.front.leave, schedule)
 
     def may_end(self, began: float) -> bool:
         idle = self.front is None or not self.front.open()
-        return self.loop.now >= began + GRACE - LAST or (self.loop.now >= began + LINGER and idle)
+        return ShutdownSchedule(began, GRACE).may_end(self.loop.now, idle)
 
     def fallen(self, power: bool) -> None:
         self.front = None
--- a/tests/mesh/test_start.py
+++ b/tests/mesh/test_start.py
@@ -86,6 +86,7 @@
     "mesh.sidecar.offers",
     "mesh.sidecar.program",
     "mesh.sidecar.retry_budget",
+    "mesh.sidecar.shutdown_schedule",
     "mesh.sidecar.trip",
 }
 CONTROL = BOTH | {
