--- a/rigs/simulation/checks.py
+++ b/rigs/simulation/checks.py
@@ -6,10 +6,12 @@
 from collections import defaultdict
 from typing import Any
 
-from rigs.simulation.history import Event, History
-from rigs.simulation.mesh import KEY_WINDOW, RATIO, SERVICES, SIDECARS, SLACK, WINDOW
+from rigs.simulation.calm import CONTACT, Calm
+from rigs.simulation.history import Event, History, asked_requests
+from rigs.simulation.mesh import KEY_WINDOW, RATIO, SIDECARS, SLACK, WINDOW
+from rigs.simulation.shutdown_checks import broken_off, lost
 
-CONTACT, APPLY, DRAIN, LATE, LOST_S = 3.0, 2.0, 2.0, 0.1, 0.2  # seconds
+APPLY, DRAIN, LATE = 2.0, 2.0, 0.1  # seconds
 REFUSALS = (408, 421, 429, 503)
 SYNC = 4.0  # seconds after all is well until the control nodes hold again as many copies as they must
 RECOVER = 4.0  # seconds after the last fault from which most requests must be served
@@ -22,31 +24,6 @@
     return found
 
 
-class Calm:
-    """When which machine and the core were free of trouble (`but`: of all except that kind)."""
-
-    def __init__(self, history: History, but: str = "") -> None:
-        self.spans: dict[str, list[tuple[float, float]]] = defaultdict(list)
-        open_since: dict[tuple[str, str], list[float]] = defaultdict(list)
-        for event in history.of("trouble", "well"):
-            key = event.who, event.data["kind"]
-            if event.data["kind"] == but:
-                continue
-            if event.what == "trouble":
-                open_since[key].append(event.at)
-            else:
-                self.spans[event.who].append((open_since[key].pop(0), event.at))
-        for (who, _), since in open_since.items():
-            self.spans[who] += [(at, float("inf")) for at in since]
-
-    def calm(self, who: str, since: float, until: float) -> bool:
-        return all(end < since or start > until for start, end in self.spans.get(who, ()))
-
-    def touch(self, who: str, at: float) -> bool:
-        """In touch: it and the core have been calm for CONTACT."""
-        return self.calm(who, at - CONTACT, at) and self.calm("core", at - CONTACT, at)
-
-
 def faults(history: History) -> list[str]:
     return [f"FAULT: {e.who} at {e.at:.3f}: {e.data['why']}" for e in history.of("fault")]
 
@@ -55,13 +32,9 @@
     return [e for e in history.of("arrival") if e.data["ran"]]
 
 
-def _asked(history: History) -> dict[str, Event]:
-    return {e.data["id"]: e for e in history.of("asked")}
-
-
 def once(history: History) -> list[str]:
     found = []
-    asked = _asked(history)
+    asked = asked_requests(history)
     by_id: dict[str, Event] = {}
     by_key: dict[str, list[Event]] = defaultdict(list)
     for run in _runs(history):
@@ -82,7 +55,7 @@
 
 
 def refused(history: History) -> list[str]:
-    asked, ran = _asked(history), {e.data["id"]: e for e in _runs(history)}
+    asked, ran = asked_requests(history), {e.data["id"]: e for e in _runs(history)}
     return [
         f"REFUSED: {e.data['id']} got {e.data['status']} at {e.at:.3f}, ran at {ran[e.data['id']].at:.3f}"
         for e in history.of("told")
@@ -94,7 +67,7 @@
 
 def mixed(history: History) -> list[str]:
     """A success is the whole answer of a run of that request, or of its key's."""
-    asked = _asked(history)
+    asked = asked_requests(history)
     said: dict[str, set[str]] = defaultdict(set)
     for event in history.of("served"):
         if event.data["status"] == 200:
@@ -118,7 +91,7 @@
     for event in history.of("told", "unheard"):
         told[event.data["id"]].append(event)
     end = history.events[-1].at
-    for name, ask in _asked(history).items():
+    for name, ask in asked_requests(history).items():
         until = ask.at + ask.data["deadline"] + LATE
         answers = [e for e in told[name] if e.what == "told"]
         if len(answers) > 1:
@@ -131,24 +104,6 @@
     return found
 
 
-def lost(history: History) -> list[str]:
-    """A sidecar that leaves in order answers what it has read, where no trouble came before it or meanwhile
-    at
-    itself, at the core or at the machines that the request may have gone to.
-    """
-    asked, left = _asked(history), {(e.who, e.at) for e in history.of("left")}
-    calm, found = Calm(history, "leave-sidecar"), []
-    for event in history.of("unheard"):
-        ask = asked[event.data["id"]]
-        if (event.who, event.at) in left and ask.at < event.at - LOST_S:
-            servers = [
-                sidecar for n, sidecar in enumerate(SIDECARS) if SERVICES[n // 3] == ask.data["service"]
-            ]
-            if all(calm.calm(who, ask.at - CONTACT, event.at) for who in ("core", event.who, *servers)):
-                found.append(f"LOST: {event.data['id']} at {event.who}, which left at {event.at:.3f}")
-    return found
-
-
 # Configuration --------------------------------------------------------------------------------------
 
 
@@ -321,7 +276,7 @@
 def drains(history: History) -> list[str]:
     found, calm = [], Calm(history)
     drained: dict[str, float] = {}
-    asked = _asked(history)
+    asked = asked_requests(history)
     for event in history.of("beaten", "arrival"):
         if event.what == "beaten":
             if event.data["state"] == "draining":
@@ -375,6 +330,7 @@
     mixed,
     answered,
     lost,
+    broken_off,
     acked,
     back,
     applied,
--- a/rigs/simulation/history.py
+++ b/rigs/simulation/history.py
@@ -35,3 +35,8 @@
             for e in self.events
             if word in e.what or word in e.who or word in str(e.data)
         )
+
+
+def asked_requests(history: History) -> dict[str, Event]:
+    """What clients asked, by request id."""
+    return {e.data["id"]: e for e in history.of("asked")}
--- a/rigs/simulation/order_checks.py
+++ b/rigs/simulation/order_checks.py
@@ -8,7 +8,8 @@
 from collections.abc import Iterable
 
 from rigs.simulation import linearizability
-from rigs.simulation.checks import APPLY, CONTACT, Calm, Tables, _acks
+from rigs.simulation.calm import CONTACT, Calm
+from rigs.simulation.checks import APPLY, Tables, _acks
 from rigs.simulation.history import Event, History
 from rigs.simulation.mesh import SIDECARS
 
--- a/rigs/simulation/planned_work.py
+++ b/rigs/simulation/planned_work.py
@@ -49,6 +49,7 @@
     def deed(site: Site, people: People, operators: Operators) -> None:
         for sidecar in site.sidecars:
             sidecar.server.slowdown, sidecar.server.silent_rate = slowdown, silent_rate
+            sidecar.server.keeps_deadlines = True
 
     return deed
 
--- a/rigs/simulation/planted.py
+++ b/rigs/simulation/planted.py
@@ -21,12 +21,13 @@
 from minthitch.mesh.raft.leader import Leader
 from minthitch.mesh.raft.messages import AppendEntriesResponse, Message, PreVote, RequestVote
 from minthitch.mesh.raft.node import RaftNode
+from minthitch.mesh.sidecar import shutdown_schedule
 from minthitch.mesh.sidecar.admission import Admission
 from minthitch.mesh.sidecar.copies import Copies
 from minthitch.mesh.sidecar.front import Front
 from minthitch.mesh.sidecar.keys import Keys
 from minthitch.mesh.sidecar.links import GRANTED, ControlLinks
-from minthitch.mesh.sidecar.trip import Attempt
+from minthitch.mesh.sidecar.trip import Attempt, Trip
 from minthitch.mesh.transport import ops
 from minthitch.mesh.transport.control_messages import ForwardedResult
 from rigs.simulation import mesh
@@ -154,6 +155,10 @@
 _ASKED = Keys.asked
 
 
+def _without_limit(shut_down: object, latest: float) -> None:
+    """What was accepted before SIGTERM keeps its own deadline."""
+
+
 PLANTED: dict[str, Callable[[], list[Patch]]] = {
     "configuration acknowledged before it is agreed": lambda: [
         mock.patch.object(ControlServer, "propose", _hasty)
@@ -342,9 +347,25 @@
 }
 
 
+# Found by the days of `rigs.simulation.planned_work`.
+IN_PLANNED_WORK: dict[str, Callable[[], list[Patch]]] = {
+    "open requests keep their deadline in a shutdown": lambda: [
+        mock.patch.object(Trip, "limit_deadline", _without_limit)
+    ],
+    "requests accepted until the end": lambda: [
+        mock.patch.object(shutdown_schedule, "MAX_ACCEPT_S", mesh.GRACE),
+        mock.patch.object(shutdown_schedule, "ACCEPT_FRACTION", 0.85),
+    ],
+    "open requests answered too soon": lambda: [
+        mock.patch.object(shutdown_schedule, "ANSWER_MARGIN_S", mesh.GRACE),
+        mock.patch.object(shutdown_schedule, "CUT_OFF_FRACTION", 0.5),
+    ],
+}
+
+
 @contextmanager
 def planted(name: str) -> Iterator[None]:
-    known = dict(PLANTED)
+    known = PLANTED | IN_PLANNED_WORK
     for plants in AT_POINTS.values():
         known |= plants
     with ExitStack() as stack:
--- a/rigs/simulation/servers.py
+++ b/rigs/simulation/servers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 import random
 from collections.abc import Callable
 from typing import Any, Protocol
@@ -80,7 +81,8 @@
             call.end(api.Status.CONNECT_FAILED)
         else:
             call.wrote()
-            self.loop.after(SIDECAR_DELAY_S, self.loop.world, self.server.take, self, call, wire)
+            left = call.left / 1e9
+            self.loop.after(SIDECAR_DELAY_S, self.loop.world, self.server.take, self, call, wire, left)
 
     def ended(self, call: UpstreamCall, outcome: Outcome | None) -> None:
         """The server's answer, or the connection's end, as its sidecar comes to see it."""
@@ -113,6 +115,7 @@
         self.running: dict[UpstreamCall, SimServerPool] = {}
         self.failure_rate = 0.02  # of answers that are lost, broken off, late or failures
         self.silent_rate = 0.0  # of requests that run and are never answered: the connection stays open
+        self.keeps_deadlines = False  # whether it answers 504 at the deadline that it is told
         self.stalled_until = 0.0
         self.slowdown = 1.0  # factor on the time that a request takes
         self.nested_call: NestedCall | None = None  # runs first in each request: (sidecar, id, continuation)
@@ -176,7 +179,8 @@
 
     # Requests
 
-    def take(self, pool: SimServerPool, call: UpstreamCall, wire: _Wire) -> None:
+    def take(self, pool: SimServerPool, call: UpstreamCall, wire: _Wire, left: float) -> None:
+        """`left`: seconds to the deadline that it is told."""
         if not self.up:
             pool.ended(call, None)
             return
@@ -201,9 +205,9 @@
         if wire.dropped:
             return
         self.site.say("arrival", self.sidecar.ip, ran=True, **who)
-        self._work(pool, call, name, key)
+        self._work(pool, call, name, key, left if self.keeps_deadlines else math.inf)
 
-    def _work(self, pool: SimServerPool, call: UpstreamCall, name: str, key: str) -> None:
+    def _work(self, pool: SimServerPool, call: UpstreamCall, name: str, key: str, left: float) -> None:
         draw = self.site.random
         duration = self.slowdown * draw.lognormvariate(-3.2, 0.6)
         luck = draw.random()
@@ -215,6 +219,8 @@
         if self.silent_rate and draw.random() < self.silent_rate:
             status = SILENT
         duration = max(duration, self.stalled_until - self.loop.now)
+        if duration > left:
+            duration, status = left, 504
         self.running[call] = pool
         body = f"{key or name} by {self.life}".encode()
 
--- /dev/null
+++ b/rigs/simulation/shutdown_checks.py
@@ -0,0 +1,86 @@
+"""What a history shows to be broken around the planned end of sidecars. Reads nothing else."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+
+from rigs.simulation.calm import CONTACT, Calm
+from rigs.simulation.history import Event, History, asked_requests
+from rigs.simulation.mesh import GRACE, SERVICES, SIDECARS
+
+LOST_S = 0.2  # seconds in which a request that has come may still cross the close of its connection
+AFTER_GRACE_S = 1.0  # for which a shutdown still counts after GRACE
+EARLY_S = 3.0  # after SIGTERM until which a request that came may be cut off in the end,
+CUT_OFF_FROM_S = 5 / 6 * GRACE  # where its server is at work so long after SIGTERM
+DEADLINE_SLACK_S = 0.05  # around its deadline a request may end without its server
+
+
+def servers_of(service: str) -> list[str]:
+    """The sidecars beside the servers of this service."""
+    return [sidecar for n, sidecar in enumerate(SIDECARS) if SERVICES[n // 3] == service]
+
+
+def lost(history: History) -> list[str]:
+    """A sidecar that leaves in order answers what it has read, where no trouble came before it or meanwhile
+    at
+    itself, at the core or at the machines that the request may have gone to.
+    """
+    asked, left = asked_requests(history), {(e.who, e.at) for e in history.of("left")}
+    calm, found = Calm(history, "leave-sidecar"), []
+    for event in history.of("unheard"):
+        ask = asked[event.data["id"]]
+        if (event.who, event.at) in left and ask.at < event.at - LOST_S:
+            servers = servers_of(ask.data["service"])
+            if all(calm.calm(who, ask.at - CONTACT, event.at) for who in ("core", event.who, *servers)):
+                found.append(f"LOST: {event.data['id']} at {event.who}, which left at {event.at:.3f}")
+    return found
+
+
+def broken_off(history: History) -> list[str]:
+    """A sidecar that leaves does not answer itself while a server is at work on the request."""
+    asked, calm = asked_requests(history), Calm(history, "leave-sidecar")
+    answers: dict[str, list[Event]] = defaultdict(list)
+    for event in history.of("told"):
+        if event.data["status"] >= 500 and not event.data["body"]:  # servers' answers have a body
+            answers[event.who].append(event)
+    mishaps = [event.at for event in history.of("server trouble")]
+    work = Work(history)
+    found = []
+    for term in history.of("sigterm"):
+        for event in answers[term.who]:
+            ask = asked[event.data["id"]]
+            if not term.at <= event.at <= term.at + GRACE + AFTER_GRACE_S:
+                continue
+            if event.at >= ask.at + ask.data["deadline"] - DEADLINE_SLACK_S or not work.goes_on(event):
+                continue
+            if ask.at <= term.at + EARLY_S and event.at >= term.at + CUT_OFF_FROM_S:
+                continue
+            since = ask.at - CONTACT
+            machines = ("core", event.who, *servers_of(ask.data["service"]))
+            if any(since <= at <= event.at for at in mishaps):
+                continue
+            if all(calm.calm(who, since, event.at) for who in machines):
+                found.append(
+                    f"LOST: {event.data['id']} got {event.data['status']} at {event.who} at {event.at:.3f}, "
+                    f"while its server was at work; SIGTERM at {term.at:.3f}"
+                )
+    return found
+
+
+class Work:
+    """From when to when servers were at work on which request."""
+
+    def __init__(self, history: History) -> None:
+        self.begun: dict[str, list[float]] = defaultdict(list)
+        self.ended: dict[str, list[float]] = defaultdict(list)
+        for event in history.of("arrival", "served"):
+            if event.what == "served":
+                self.ended[event.data["id"]].append(event.at)
+            elif event.data["ran"]:
+                self.begun[event.data["id"]].append(event.at)
+
+    def goes_on(self, answer: Event) -> bool:
+        """Whether a server is still at work on the request as it is answered."""
+        name = answer.data["id"]
+        begun = sum(at <= answer.at for at in self.begun[name])
+        return begun > sum(at <= answer.at for at in self.ended[name])
