--- a/bench/mesh.py
+++ b/bench/mesh.py
@@ -1,8 +1,7 @@
 """The mesh in virtual time: `python -m bench.mesh [--quick]`.
 
-Plays days with faults drawn from seeds on the real control nodes and sidecars, judges each history, and
-lets the model
-look for the faults planted in `rigs.simulation.planted`, each of which it must find.
+Plays days with faults and days of planned work, drawn from seeds, on the real control nodes and sidecars,
+judges each history, and looks for the faults planted in `rigs.simulation.planted`: each must be found.
 """
 
 from __future__ import annotations
@@ -16,12 +15,14 @@
 from typing import Any, NamedTuple
 
 from rigs.simulation.checks import delays
-from rigs.simulation.planted import PLANTED, planted
+from rigs.simulation.planned_work import play_planned_work
+from rigs.simulation.planted import IN_PLANNED_WORK, PLANTED, planted
 from rigs.simulation.play import Day, Played, play, shrink
 from rigs.simulation.schedule import Fault, draw_schedule
 from rigs.simulation.storms import STORM, schedule, storm
 
 DAYS, QUICK_DAYS = 1_000, 60
+PLANNED_PART = 4  # one day of planned work for so many with faults
 MOST = 200  # schedules within which a planted fault must be found
 FIRST, PLANT = 1, 100_000  # seeds
 UNSURE = "SYNC"  # not by this is a planted fault found: it tells that something is late, not what is broken
@@ -82,13 +83,22 @@
     with planted(name):
         for number in range(MOST):
             broken = [
-                text for text in play(PLANT + number, AIMED.get(name)).broken if not text.startswith(UNSURE)
+                text for text in _with_fault(name, PLANT + number).broken if not text.startswith(UNSURE)
             ]
             if broken:
                 return name, number + 1, broken[0]
     return name, 0, ""
 
 
+def _with_fault(name: str, seed: int) -> Played:
+    return play_planned_work(seed) if name in IN_PLANNED_WORK else play(seed, AIMED.get(name))
+
+
+def planned(seed: int) -> tuple[int, list[str]]:
+    """(seed, what a day of planned work broke)."""
+    return seed, play_planned_work(seed).broken
+
+
 def _summed(counters: Iterable[Counter[Any]]) -> Counter[Any]:
     total: Counter[Any] = Counter()
     for counter in counters:
@@ -130,8 +140,9 @@
     days = QUICK_DAYS if parser.parse_args().quick else DAYS
     short: list[str] = []
     with ProcessPoolExecutor(WORKERS) as pool:
-        hunts = [pool.submit(hunt, name) for name in PLANTED]
+        hunts = [pool.submit(hunt, name) for name in PLANTED | IN_PLANNED_WORK]
         rows = list(pool.map(one, range(FIRST, FIRST + days), chunksize=4))
+        work = list(pool.map(planned, range(FIRST, FIRST + days // PLANNED_PART), chunksize=4))
         found = [task.result() for task in hunts]
     _tell_faults(rows)
     _tell_figures(rows)
@@ -141,6 +152,10 @@
         print(f"  seed {row.seed}: {row.broken[0]}")
         print(f"    cut down: {_cut_down(row.seed)}")
         short.append(f"seed {row.seed}: {row.broken[0]}")
+    print(f"{len(work):7d}  days of planned work, {sum(bool(broken) for _, broken in work)} broken")
+    for seed, broken in work:
+        if broken:
+            short.append(f"planned work, seed {seed}: {broken[0]}")
     for name, number, what in found:
         print(f"{number:7d}  schedules to find: {name} ({what[:60]})")
         if not number:
--- a/tests/mesh/test_admission.py
+++ b/tests/mesh/test_admission.py
@@ -94,6 +94,33 @@
         self.shelf.errands[0].finish(Status.OK, Outcome(RAN, 200))
         self.assertEqual(self.kinds()[1:], [(ops.ANSWER, 1)])
 
+    async def test_gate_that_shuts_down_rejects_what_has_not_begun_and_starts_nothing_more(self) -> None:
+        loop = asyncio.get_running_loop()
+        self.call(1)
+        self.call(2)
+        self.admission.limit_deadlines(loop.time())
+        self.shelf.errands[0].finish(Status.OK, Outcome(RAN, 200))
+        self.call(3)
+        self.assertEqual(self.kinds(), [(ops.ANSWER, 1), (ops.BUSY, 2), (ops.BUSY, 3)])
+        self.assertEqual(len(self.shelf.errands), 1)
+
+    async def test_gate_that_shuts_down_tells_its_server_the_time_that_is_left(self) -> None:
+        self.admission.limit_deadlines(asyncio.get_running_loop().time() + 1.0)
+        self.call(1)
+        self.assertAlmostEqual(self.shelf.errands[0].left / 1e9, 1.0, delta=0.1)
+
+    async def test_calls_given_up_after_long_are_logged_with_their_state(self) -> None:
+        long_s = mock.patch("minthitch.mesh.sidecar.admission.LONG_S", 0.0)
+        with long_s, self.assertLogs("minthitch") as log:
+            self.call(1, flags=0)
+            self.call(2, flags=0)
+            self.admission.fell("line")
+        self.assertEqual(len(log.output), 2)
+        self.assertRegex(log.output[0], r"E211 call on r abandoned by svc after 0\.\d s: queued$")
+        self.assertRegex(
+            log.output[1], r"E211 call on r abandoned by svc after 0\.\d s: running for 0\.\d s$"
+        )
+
     async def test_only_a_connect_that_failed_takes_the_server_out(self) -> None:
         self.call(1)
         self.shelf.errands[0].finish(Status.FULL, Outcome(NOT_RUN, 503, why="turned away"))
--- a/tests/mesh/test_delivery_trips.py
+++ b/tests/mesh/test_delivery_trips.py
@@ -39,8 +39,8 @@
 
 
 class Deadlines(unittest.TestCase):
-    def play(self, whole: bool | None) -> None:
-        """A keyed request whose claim stands, up to just after its deadline."""
+    def play(self, whole: bool | None, limit: float = DEADLINE) -> None:
+        """A keyed request whose claim stands, up to just after its deadline or the `limit` set meanwhile."""
         loop, self.said = VirtualLoop(1), list[int]()
         self.copies, operations = Copies(whole), OperationTable(60.0)
         budget = mock.Mock()
@@ -68,7 +68,8 @@
             front, client, item, Route("r", "keyed", 5.0, 0.5, 1, 2, ()), "s", 0.0, DEADLINE, False
         )
         self.trip.begin()
-        loop.run_until(DEADLINE + 0.1)
+        self.trip.limit_deadline(limit)
+        loop.run_until(min(limit, DEADLINE) + 0.1)
         self.operation = operations.by_claim_id[b"claim"]
 
     def test_one_that_waits_or_has_left_in_part_is_withdrawn_and_refused(self) -> None:
@@ -88,6 +89,23 @@
             (self.operation.state, len(self.said), self.trip.closed), (OperationState.UNKNOWN, 1, True)
         )
 
+    def test_limit_before_its_deadline_ends_it_then_and_a_later_one_changes_nothing(self) -> None:
+        for whole, kind in ((True, ErrorKind.DEADLINE), (None, ErrorKind.NO_TIME)):
+            self.play(whole, DEADLINE / 2)
+            self.assertEqual(self.said, [REPLIES[kind].status])
+        self.play(True, 2 * DEADLINE)
+        self.assertEqual(self.said, [REPLIES[ErrorKind.DEADLINE].status])
+
+    def test_log_tells_where_it_is(self) -> None:
+        self.play(True)
+        self.assertEqual(self.trip.describe(1.0), "sent to 10.0.0.2 1.0 s ago")
+        self.copies.sent[0].parcel = None
+        self.assertEqual(self.trip.describe(1.0), "not sent to 10.0.0.2 1.0 s ago")
+        self.trip.out.clear()
+        self.assertEqual(self.trip.describe(1.0), "between attempts, 1 made")
+        self.trip.operation = None
+        self.assertEqual(self.trip.describe(1.0), "waiting for its key, claimed by nobody known")
+
 
 if __name__ == "__main__":
     unittest.main()
