Simulation: people are clients, deeds actions; planted faults by where they are found

Ruled out: a change of what is played: test_hard, test_points, test_explain, test_planned_work pass. Change: names and files in rigs/simulation, its tests and two benches; nothing that a program in service loads. Measured: no logic changed.

--- a/bench/control.py
+++ b/bench/control.py
@@ -15,7 +15,8 @@
 from typing import NamedTuple
 
 from rigs.simulation.order_checks import longest_wait, waits
-from rigs.simulation.planted import AT_POINTS, CUT_OFF, planted
+from rigs.simulation.planted import planted
+from rigs.simulation.planted_points import AT_POINTS, CUT_OFF
 from rigs.simulation.points import POINTS, Point
 
 QUICK_DAYS = {"cut off for twenty seconds": 40, "hundreds of changes": 8}  # else QUICK_OTHERS
--- a/bench/mesh.py
+++ b/bench/mesh.py
@@ -16,7 +16,9 @@
 
 from rigs.simulation.checks import delays
 from rigs.simulation.planned_work import play_planned_work
-from rigs.simulation.planted import IN_PLANNED_WORK, PLANTED, planted
+from rigs.simulation.planted import planted
+from rigs.simulation.planted_drawn import PLANTED
+from rigs.simulation.planted_shutdowns import IN_PLANNED_WORK
 from rigs.simulation.play import Day, Played, play, shrink
 from rigs.simulation.schedule import Fault, draw_schedule
 from rigs.simulation.storms import STORM, schedule, storm
--- a/rigs/simulation/people.py
+++ b/rigs/simulation/clients.py
@@ -33,30 +33,30 @@
     token = 1
 
     def __init__(
-        self, people: People, sidecar: SidecarNode, name: str, done: Callable[[int, bytes], None]
+        self, clients: Clients, sidecar: SidecarNode, name: str, done: Callable[[int, bytes], None]
     ) -> None:
-        self.people, self.sidecar, self.name, self.done = people, sidecar, name, done
+        self.clients, self.sidecar, self.name, self.done = clients, sidecar, name, done
         self.over = False
 
     def respond(self, token: int, status: int, fields: Any, body: bytes) -> None:
-        site = self.people.site
+        site = self.clients.site
         site.say("told", self.sidecar.ip, id=self.name, status=status, body=body.decode())
         self._end(status, body)
 
     def reset(self) -> None:
         """The sidecar's process is gone, or nobody listens there."""
-        self.people.site.say("unheard", self.sidecar.ip, id=self.name)
+        self.clients.site.say("unheard", self.sidecar.ip, id=self.name)
         self._end(0, b"")
 
     def _end(self, status: int, body: bytes) -> None:
         self.sidecar.clients.pop(self, None)
         if not self.over:
             self.over = True
-            loop = self.people.site.loop
+            loop = self.clients.site.loop
             loop.after(0.0005, loop.world, self.done, status, body)
 
 
-class People:
+class Clients:
     """Who asks at the sidecars."""
 
     def __init__(
--- a/rigs/simulation/loop.py
+++ b/rigs/simulation/loop.py
@@ -18,7 +18,7 @@
 
 
 class Machine:
-    """One simulated machine (or the world around them: servers' processes, people)."""
+    """One simulated machine (or the world around them: servers' processes, clients)."""
 
     def __init__(self, name: str, offset: float = 0.0) -> None:
         self.name, self.offset = name, offset
--- a/rigs/simulation/planned_work.py
+++ b/rigs/simulation/planned_work.py
@@ -9,8 +9,8 @@
 import random
 from typing import Any
 
+from rigs.simulation.clients import Clients, Operators
 from rigs.simulation.mesh import GRACE, SIDECARS, Site
-from rigs.simulation.people import Operators, People
 from rigs.simulation.play import Day, Played, play
 from rigs.simulation.schedule import Fault
 
@@ -37,7 +37,7 @@
         failure_rate=draw.choice((0.0, 0.02)),
         deadlines=DEADLINES,
         timeout=TIMEOUT,
-        deeds=(
+        actions=(
             (2.5, _servers(draw.choice((1.0, 6.0, 30.0)), draw.choice((0.0, 0.02, 0.1)))),
             (LAST_S, _servers()),
         ),
@@ -46,12 +46,12 @@
 
 
 def _servers(slowdown: float = 1.0, silent_rate: float = 0.0) -> Any:
-    def deed(site: Site, people: People, operators: Operators) -> None:
+    def action(site: Site, clients: Clients, operators: Operators) -> None:
         for sidecar in site.sidecars:
             sidecar.server.slowdown, sidecar.server.silent_rate = slowdown, silent_rate
             sidecar.server.keeps_deadlines = True
 
-    return deed
+    return action
 
 
 def play_planned_work(seed: int) -> Played:
--- /dev/null
+++ b/rigs/simulation/planted_points.py
@@ -0,0 +1,176 @@
+"""Planted faults that the schedules of `rigs.simulation.points` must find.
+
+They stand on what the core shows to its shell, not on the names of its steps: a step that is renamed would
+leave a planted fault without effect.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+from unittest import mock
+
+from msgspec import structs
+
+from minthitch.mesh.configuration.items import Items
+from minthitch.mesh.control import consensus as consensus_module
+from minthitch.mesh.control.proposals import Proposals
+from minthitch.mesh.control.server import ControlServer
+from minthitch.mesh.raft.actions import Action
+from minthitch.mesh.raft.messages import AppendEntriesResponse, Message, PreVote, RequestVote
+from minthitch.mesh.raft.node import RaftNode
+from minthitch.mesh.sidecar.copies import Copies
+from minthitch.mesh.sidecar.front import Front
+from minthitch.mesh.sidecar.trip import Attempt
+from minthitch.mesh.transport import ops
+from minthitch.mesh.transport.control_messages import ForwardedResult
+from rigs.simulation.disk import SimStore
+from rigs.simulation.planted_drawn import PLANTED, Patch
+
+
+class Unleased(RaftNode):
+    """A leader that takes all voters to be in touch for ever, and so its lease to last."""
+
+    def tick(self, now: float) -> list[Action]:
+        for progress in self.leader_state.peers.values():
+            progress.last_response_at = progress.acknowledged_sent_at = now
+        return super().tick(now)
+
+    def has_lease(self, now: float) -> bool:
+        return self.is_leader
+
+
+class Presuming(RaftNode):
+    """Counts what was sent to a voter as held by it."""
+
+    def persisted(self, now: float, write_id: int) -> list[Action]:
+        for progress in self.leader_state.peers.values():
+            progress.match_index = max(progress.match_index, progress.next_index - 1)
+        return super().persisted(now, write_id)
+
+
+class Credulous(RaftNode):
+    """Votes for whoever asks first, however short its log."""
+
+    def receive(self, now: float, source: str, message: Message) -> list[Action]:
+        if isinstance(message, (PreVote, RequestVote)):
+            message = structs.replace(message, last_log_index=1 << 40, last_log_term=1 << 40)
+        return super().receive(now, source, message)
+
+
+class Clinging(RaftNode):
+    """Never gives the seat of a voter that is gone to another machine."""
+
+    def __init__(self, *args: Any, **more: Any) -> None:
+        super().__init__(*args, **more)
+        assert self.reconfiguration.policy.unresponsive_after_s > 0.0
+        self.reconfiguration.policy.unresponsive_after_s = float("inf")
+
+
+class Impatient(RaftNode):
+    """Does not wait for voters that are silent: what it holds alone counts as agreed."""
+
+    def persisted(self, now: float, write_id: int) -> list[Action]:
+        self._wave_through(now)
+        return super().persisted(now, write_id)
+
+    def tick(self, now: float) -> list[Action]:
+        self._wave_through(now)
+        return super().tick(now)
+
+    def _wave_through(self, now: float) -> None:
+        for progress in self.leader_state.peers.values():
+            if now - progress.last_response_at > 0.5 * self.timing.election_timeout:
+                progress.match_index = max(progress.match_index, self.log.durable)
+                progress.acknowledged_sent_at = now
+
+
+class Trusting(RaftNode):
+    """Takes any good answer of a voter for one to all that the leader holds."""
+
+    def receive(self, now: float, source: str, message: Message) -> list[Action]:
+        if isinstance(message, AppendEntriesResponse) and message.success:
+            message = structs.replace(message, index=self.last_index)
+        return super().receive(now, source, message)
+
+
+def _fetch_anywhere(server: ControlServer, done: Any) -> None:
+    """Every node answers reads from what it holds itself."""
+    done((server.state.items.fetch(), server.state.items.index))
+
+
+def _ready_when_fed(front: Front) -> bool:
+    """With whatever configuration it has, from whomever."""
+    return front.table is not None and not front.leaving
+
+
+def _any_result(proposals: Proposals, message: ForwardedResult) -> None:
+    """Takes the answer for the oldest that waits."""
+    oldest = next(iter(proposals.forwarded), message.request_id)
+    _ON_RESULT(proposals, structs.replace(message, request_id=oldest))
+
+
+_ON_RESULT = Proposals.on_forwarded_result
+
+
+def _refuses_equal(items: Items, row: Any) -> bool:
+    """Takes the same order for a rival of itself."""
+    held = items._rows.get((row.section, row.name))
+    return held is not None and row.version == held.version
+
+
+def _short_log(store: SimStore) -> Any:
+    """What a start finds lacks its last entries."""
+    saved = store.disk.saved
+    return None if saved is None else structs.replace(saved, entries=saved.entries[:-3])
+
+
+def _any_answer(copies: Copies, message: ops.Message) -> None:
+    """Takes a server's answer for that of the oldest call that is out."""
+    if message[0] == ops.ANSWER and copies.attempts:
+        message = (message[0], next(iter(copies.attempts)), *message[2:])
+    _ANSWER(copies, message)
+
+
+_ANSWER = Copies.answer
+
+
+def _core(make: type[RaftNode]) -> Callable[[], list[Patch]]:
+    return lambda: [mock.patch.object(consensus_module, "RaftNode", make)]
+
+
+CUT_OFF, ONE_ORDER = "cut off for twenty seconds", "one number, one order"
+SECOND_LOSS, MANY_CHANGES = "second loss after a repair", "hundreds of changes"
+RIGHT_CALLER = "wrong caller, sent twice"
+
+AT_POINTS: dict[str, dict[str, Callable[[], list[Patch]]]] = {
+    CUT_OFF: {
+        "a lease that never ends": _core(Unleased),
+        "a majority counted without contact": _core(Presuming),
+        "a member that leads with old state": _core(Credulous),
+        "reads answered by any node": lambda: [mock.patch.object(ControlServer, "fetch", _fetch_anywhere)],
+        "ready with what a peer fed it": lambda: [mock.patch.object(Front, "ready", _ready_when_fed)],
+    },
+    ONE_ORDER: {
+        "both orders confirmed": lambda: [mock.patch.object(Items, "_conflicts", lambda *args: False)],
+        "a taken order refused": lambda: [mock.patch.object(Items, "_conflicts", _refuses_equal)],
+        "a result without its number checked": lambda: [
+            mock.patch.object(Proposals, "on_forwarded_result", _any_result)
+        ],
+    },
+    SECOND_LOSS: {
+        "a seat kept too long": _core(Clinging),
+        "a sole copy let go": _core(Impatient),
+        "copies counted that are not there": _core(Trusting),
+        "a wiped disk that keeps its vote at a second loss": PLANTED["a wiped disk that keeps its vote"],
+    },
+    MANY_CHANGES: {
+        "a snapshot without its last entries": PLANTED["an image without the last entries"],
+        "a restart that forgets its last entries": lambda: [mock.patch.object(SimStore, "load", _short_log)],
+    },
+    RIGHT_CALLER: {
+        "an answer without its number checked": lambda: [mock.patch.object(Copies, "answer", _any_answer)],
+        "never left, claimed after a write": lambda: [mock.patch.object(Attempt, "left", False)],
+        "a key freed that was sent": PLANTED["a key freed that may have run"],
+    },
+}
--- a/rigs/simulation/play.py
+++ b/rigs/simulation/play.py
@@ -19,18 +19,18 @@
 from minthitch.mesh.sidecar.front import Front
 from rigs.simulation import mesh
 from rigs.simulation.checks import violations
+from rigs.simulation.clients import DEADLINES, TIMEOUT, Clients, Operators
 from rigs.simulation.fault_injector import FaultInjector
 from rigs.simulation.history import History
 from rigs.simulation.loop import VirtualLoop
 from rigs.simulation.mesh import CONTROLS, MakeControl, MakeFront, Site
 from rigs.simulation.network import Network
-from rigs.simulation.people import DEADLINES, TIMEOUT, Operators, People
 from rigs.simulation.schedule import Fault, draw_schedule
 
 SNAPSHOT_INTERVALS = (10, 25, 60)  # entries between two images; a day has some 250
 TAILS = (0, 6, 40)  # entries that are kept before an image
 PIECES = (300, 2_000, 64 * 1024)  # bytes of entries or of an image in one message
-Deed = Callable[[Site, People, Operators], None]
+Action = Callable[[Site, Clients, Operators], None]
 
 
 class Day(NamedTuple):
@@ -43,7 +43,7 @@
     failure_rate: float | None = None  # share of requests that go wrong at their server; None: drawn
     deadlines: tuple[float, ...] = DEADLINES  # of clients, in seconds
     timeout: float = TIMEOUT  # of the routes, in seconds
-    deeds: tuple[tuple[float, Deed], ...] = ()
+    actions: tuple[tuple[float, Action], ...] = ()
     make_control: MakeControl = ControlServer
     make_front: MakeFront = Front
     controls: tuple[str, ...] = CONTROLS
@@ -91,15 +91,15 @@
 
 def _run(site: Site, schedule: list[Fault], day: Day) -> None:
     loop = site.loop
-    people = People(site, day.rate, day.seconds + day.quiet - 2.0, day.deadlines)
+    clients = Clients(site, day.rate, day.seconds + day.quiet - 2.0, day.deadlines)
     operators = Operators(site, day.every, day.seconds, day.timeout)
     faults = FaultInjector(site, schedule)
     site.start(day.failure_rate)
-    people.start()
+    clients.start()
     operators.start()
     faults.start()
-    for at, deed in day.deeds:
-        loop.after(at, loop.world, deed, site, people, operators)
+    for at, action in day.actions:
+        loop.after(at, loop.world, action, site, clients, operators)
     loop.after(day.seconds, loop.world, faults.heal)
     loop.after(day.seconds + day.quiet, loop.world, operators.read_back)
     loop.after(day.seconds + day.quiet, loop.world, _look, site)
--- a/rigs/simulation/points/__init__.py
+++ b/rigs/simulation/points/__init__.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from rigs.simulation.planted import CUT_OFF, MANY_CHANGES, ONE_ORDER, RIGHT_CALLER, SECOND_LOSS
+from rigs.simulation.planted_points import CUT_OFF, MANY_CHANGES, ONE_ORDER, RIGHT_CALLER, SECOND_LOSS
 from rigs.simulation.play import Played
 from rigs.simulation.points.isolation import isolation_day
 from rigs.simulation.points.links import links_day
--- a/rigs/simulation/points/many_changes.py
+++ b/rigs/simulation/points/many_changes.py
@@ -5,11 +5,11 @@
 import random
 from typing import Any
 
+from rigs.simulation.clients import route
 from rigs.simulation.ctl import ControlClient
 from rigs.simulation.cuts import restart
 from rigs.simulation.history import History
 from rigs.simulation.mesh import ControlNode, Site
-from rigs.simulation.people import route
 from rigs.simulation.play import Played
 from rigs.simulation.points.script import FAULTS_FROM_S, Script, play_script
 from rigs.simulation.points.second_loss import is_voter, lose_disk
--- a/rigs/simulation/points/script.py
+++ b/rigs/simulation/points/script.py
@@ -7,13 +7,13 @@
 from typing import Any
 from unittest import mock
 
-from rigs.simulation import order_checks, people
+from rigs.simulation import clients, order_checks
+from rigs.simulation.clients import Clients, Operators, route
 from rigs.simulation.ctl import ControlClient
 from rigs.simulation.cuts import RefusingNetwork, restart
 from rigs.simulation.history import History
 from rigs.simulation.mesh import CONTROLS, Site
-from rigs.simulation.people import Operators, People, route
-from rigs.simulation.play import Day, Deed, Played, play
+from rigs.simulation.play import Action, Day, Played, play
 from rigs.simulation.schedule import Fault
 
 FAULTS_FROM_S = 3.0  # when the first fault strikes
@@ -30,7 +30,7 @@
     def __init__(self, seed: int, lost: float = 0.1) -> None:
         self.draw = random.Random(seed)
         self.lost = lost
-        self.deeds: list[tuple[float, Deed]] = []
+        self.actions: list[tuple[float, Action]] = []
         self.client: ControlClient | None = None
         self.versions = [0] * ROUTE_COUNT
         self.last_read = 0  # number of the node that was last asked for the configuration
@@ -38,12 +38,12 @@
     def at(self, when: float, act: Callable[[Site, ControlClient], None]) -> None:
         """`act` runs `when` seconds into the day."""
 
-        def deed(site: Site, people: People, operators: Operators) -> None:
+        def action(site: Site, clients: Clients, operators: Operators) -> None:
             if self.client is None:
                 self.client = ControlClient(site, self.lost)
             act(site, self.client)
 
-        self.deeds.append((round(when, 4), deed))
+        self.actions.append((round(when, 4), action))
 
     def order(self, when: float, call: dict[str, Any], sort: str = "proper", node: int | None = None) -> None:
         """Sends an order at that time, first to that node, or to any."""
@@ -94,11 +94,11 @@
         every=1e6,
         quiet=5.2,
         failure_rate=0.0,
-        deeds=tuple(script.deeds),
+        actions=tuple(script.actions),
         controls=controls,
         make_network=RefusingNetwork,
     )
-    with mock.patch.object(people, "EARLY", 0.0):
+    with mock.patch.object(clients, "EARLY", 0.0):
         played = play(seed, faults, day)
     more = [text for check in (order_checks.violations, *checks) for text in check(played.history)]
     return played._replace(broken=played.broken + more)
--- a/rigs/simulation/size.py
+++ b/rigs/simulation/size.py
@@ -257,11 +257,11 @@
         return tuple(sidecar.ip for sidecar in self.told if sidecar.keeps)
 
     def over(
-        self, seconds: float, deed: Callable[[], None] = lambda: None, ips: tuple[str, ...] = CONTROLS
+        self, seconds: float, action: Callable[[], None] = lambda: None, ips: tuple[str, ...] = CONTROLS
     ) -> Used:
-        """What these spend in so many seconds from a deed on."""
+        """What these spend in so many seconds from a action on."""
         before = self.spent(ips)
-        deed()
+        action()
         self.loop.run_until(self.loop.now + seconds)
         return self.spent(ips).less(before)
 
--- a/rigs/simulation/storms.py
+++ b/rigs/simulation/storms.py
@@ -4,9 +4,9 @@
 
 import random
 
+from rigs.simulation.clients import Clients, Operators
 from rigs.simulation.mesh import Site
-from rigs.simulation.people import Operators, People
-from rigs.simulation.play import Day, Deed, Played, play
+from rigs.simulation.play import Action, Day, Played, play
 from rigs.simulation.schedule import Fault
 
 FIRST, LAST = 3.0, 11.5  # seconds between which it storms
@@ -60,29 +60,29 @@
     return sorted(faults)
 
 
-def _everywhere(key: str) -> Deed:
+def _everywhere(key: str) -> Action:
     """One key, at most of the sidecars in the same moment, and again and again."""
 
-    def deed(site: Site, people: People, operators: Operators) -> None:
+    def action(site: Site, clients: Clients, operators: Operators) -> None:
         draw, loop = site.random, site.loop
 
         def ask(sidecar: int) -> None:
             patience = draw.choice((0.3, 0.8, 2.0))
-            people.ask(site.sidecars[sidecar], "keyed", key, lambda status, body: None, patience)
+            clients.ask(site.sidecars[sidecar], "keyed", key, lambda status, body: None, patience)
 
         for sidecar in range(len(site.sidecars)):
             if draw.random() < 0.7:
                 for wait in (0.0, *(draw.choice(WAITS) for _ in range(3))):
                     loop.after(wait, loop.world, ask, sidecar)
 
-    return deed
+    return action
 
 
 STORM = Day(
     seconds=12.0,
     rate=2.0,
     every=0.3,
-    deeds=tuple((FIRST + EVERY * n, _everywhere(f"storm{n}")) for n in range(KEYS)),
+    actions=tuple((FIRST + EVERY * n, _everywhere(f"storm{n}")) for n in range(KEYS)),
 )
 
 
--- a/tests/mesh/test_budget.py
+++ b/tests/mesh/test_budget.py
@@ -21,8 +21,8 @@
 from minthitch.mesh.sidecar import retry_budget as retry_budget_module
 from minthitch.mesh.sidecar.admission import Admission
 from minthitch.mesh.sidecar.retry_budget import RetryBudget
+from rigs.simulation.clients import Clients, Operators, route
 from rigs.simulation.mesh import Site
-from rigs.simulation.people import Operators, People, route
 from rigs.simulation.play import Day, play
 from rigs.simulation.schedule import Fault
 
@@ -70,8 +70,8 @@
 
     # Time
 
-    def run(self, until: float, *deeds: tuple[float, Callable[[], None]]) -> None:
-        todo = sorted(deeds, key=lambda deed: deed[0])
+    def run(self, until: float, *actions: tuple[float, Callable[[], None]]) -> None:
+        todo = sorted(actions, key=lambda action: action[0])
         while self.now < until:
             self.now = round(self.now + STEP, 6)
             while todo and todo[0][0] <= self.now:
@@ -257,10 +257,10 @@
         for seed in range(4):
             world = World(seed, 6, even(6.0))
             first, second, third, *_ = world.sidecars
-            deeds = [(at, world.new_leader) for at in (16.0, 17.5, 31.0)]
-            deeds += [(at, partial(setattr, first, "cut", at < 20.0)) for at in (15.9, 27.0)]
-            deeds += [(at, partial(setattr, second, "frozen", at < 20.0)) for at in (15.9, 20.9)]
-            world.run(70.0, *deeds, (30.9, partial(setattr, third, "down", True)))
+            actions = [(at, world.new_leader) for at in (16.0, 17.5, 31.0)]
+            actions += [(at, partial(setattr, first, "cut", at < 20.0)) for at in (15.9, 27.0)]
+            actions += [(at, partial(setattr, second, "frozen", at < 20.0)) for at in (15.9, 20.9)]
+            world.run(70.0, *actions, (30.9, partial(setattr, third, "down", True)))
             self.kept(world, 0.7)
 
     def test_drawn_trouble(self) -> None:
@@ -357,11 +357,11 @@
         self.assertLessEqual(paid[0], 1.1 * further)  # a copy cancelled on its way is paid, too
 
     def test_a_whole_service_slow_by_three(self) -> None:
-        def slow(site: Site, people: People, operators: Operators) -> None:
+        def slow(site: Site, clients: Clients, operators: Operators) -> None:
             for sidecar in site.sidecars[:3]:
                 sidecar.server.slowdown = 3.0
 
-        day = Day(seconds=25.0, rate=16.0, quiet=5.0, failure_rate=0.02, deeds=((12.0, slow),))
+        day = Day(seconds=25.0, rate=16.0, quiet=5.0, failure_rate=0.02, actions=((12.0, slow),))
         played = play(5, [Fault(16.0, "cut-control", -1, 4.5), Fault(18.0, "kill-sidecar", 1, 0.4)], day)
         self.assertEqual(played.broken, [])
         self.assertGreater(arrivals(played), 30)
@@ -382,7 +382,7 @@
     """Each run at the shop makes two calls to the bank, through the sidecar beside it."""
     count: Counter[str] = Counter()
 
-    def deed(site: Site, people: People, operators: Operators) -> None:
+    def action(site: Site, clients: Clients, operators: Operators) -> None:
         operators.patch({"Upsert": {"Routes": [route("inner", 1, "/n/", "idempotent", "bank")]}}, "proper")
         site.history.ears.append(
             lambda event: count.update([event.data["id"]] if event.what == "arrival" else ())
@@ -397,13 +397,13 @@
                     done(all(told))
 
             for _ in range(2):
-                ident = people.ask(sidecar, "idempotent", "", answer, 1.0, to=("/n/", "bank"))
+                ident = clients.ask(sidecar, "idempotent", "", answer, 1.0, to=("/n/", "bank"))
                 site.say("inner", sidecar.ip, id=ident, repeat=count[name] > 1)
 
         for sidecar in site.sidecars[:3]:
             site.loop.after(1.0, site.loop.world, setattr, sidecar.server, "nested_call", inner)
 
-    return play(seed, [], Day(seconds=25.0, rate=6.0, quiet=5.0, failure_rate=0.1, deeds=((2.0, deed),)))
+    return play(seed, [], Day(seconds=25.0, rate=6.0, quiet=5.0, failure_rate=0.1, actions=((2.0, action),)))
 
 
 def arrivals(played: Any) -> int:
--- a/tests/mesh/test_explain.py
+++ b/tests/mesh/test_explain.py
@@ -26,35 +26,35 @@
 from minthitch.mesh.sidecar.trip import Trip
 from minthitch.net.callers import Incoming
 from rigs.simulation import servers
+from rigs.simulation.clients import Clients, Operators
 from rigs.simulation.mesh import Site
-from rigs.simulation.people import Operators, People
-from rigs.simulation.play import Deed
+from rigs.simulation.play import Action
 from tests.mesh.test_simulation import case, slots, statuses
 from tests.mesh.test_start import NEVER, loaded
 
 
 class Watch:
-    """Traces at the first sidecars, asks by deeds, keeps the ids of what it asked."""
+    """Traces at the first sidecars, asks by actions, keeps the ids of what it asked."""
 
     def __init__(self) -> None:
         self.tracers: dict[int, Tracer] = {}
         self.names: list[tuple[int, str]] = []
 
-    def trace(self, sidecar: int, seconds: str) -> Deed:
-        def deed(site: Site, people: People, operators: Operators) -> None:
+    def trace(self, sidecar: int, seconds: str) -> Action:
+        def action(site: Site, clients: Clients, operators: Operators) -> None:
             node = site.sidecars[sidecar]
             assert node.front is not None
             tracer = self.tracers.setdefault(sidecar, Tracer(node.front))
             site.loop.on(node.machine, lambda: tracer.switch(seconds))
 
-        return deed
+        return action
 
-    def ask(self, sidecar: int, kind: str, key: str = "") -> Deed:
-        def deed(site: Site, people: People, operators: Operators) -> None:
-            name = people.ask(site.sidecars[sidecar], kind, key, lambda status, body: None, 2.0)
+    def ask(self, sidecar: int, kind: str, key: str = "") -> Action:
+        def action(site: Site, clients: Clients, operators: Operators) -> None:
+            name = clients.ask(site.sidecars[sidecar], kind, key, lambda status, body: None, 2.0)
             self.names.append((sidecar, name))
 
-        return deed
+        return action
 
     def told(self, number: int) -> dict[str, Any] | None:
         sidecar, name = self.names[number]
--- a/tests/mesh/test_hard.py
+++ b/tests/mesh/test_hard.py
@@ -10,10 +10,10 @@
 
 from rigs.simulation import play as play_module
 from rigs.simulation.checks import delays
+from rigs.simulation.clients import Clients, Operators
 from rigs.simulation.history import Event
 from rigs.simulation.mesh import Site
-from rigs.simulation.people import Operators, People
-from rigs.simulation.play import Day, Deed, Played, play
+from rigs.simulation.play import Action, Day, Played, play
 from rigs.simulation.schedule import SYNC_S, Fault
 
 DAY = Day(seconds=8.0, rate=0.8, every=0.4, quiet=5.2, failure_rate=0.0)
@@ -26,9 +26,9 @@
         seed: int = 1,
         seconds: float = 8.0,
         every: float = 0.4,
-        deeds: tuple[tuple[float, Deed], ...] = (),
+        actions: tuple[tuple[float, Action], ...] = (),
     ) -> Played:
-        played = play(seed, schedule, DAY._replace(seconds=seconds, every=every, deeds=deeds))
+        played = play(seed, schedule, DAY._replace(seconds=seconds, every=every, actions=actions))
         self.assertEqual(played.broken, [])
         return played
 
@@ -82,20 +82,22 @@
     def test_clocks_apart(self) -> None:
         """By a second, two, an hour; what is counted is only time that passes."""
 
-        def apart(site: Site, people: People, operators: Operators) -> None:
+        def apart(site: Site, clients: Clients, operators: Operators) -> None:
             for control, seconds in zip(site.controls, (3600.0, 1.0, 0.0), strict=True):
                 control.machine.offset = seconds
             for sidecar, seconds in zip(site.sidecars, (2.0, 0.0, 1.0, 0.0, 3600.0, 1.0), strict=True):
                 sidecar.machine.offset = seconds
 
         self.day(
-            Fault(3.5, "freeze-control", -1, 1.0), Fault(5.5, "kill-control", -1, 0.5), deeds=((0.0, apart),)
+            Fault(3.5, "freeze-control", -1, 1.0),
+            Fault(5.5, "kill-control", -1, 0.5),
+            actions=((0.0, apart),),
         )
 
     def test_follower_far_behind(self) -> None:
         """So far that only an image helps; it is needed at once, as the two others lose power."""
 
-        def cut(site: Site, people: People, operators: Operators) -> None:
+        def cut(site: Site, clients: Clients, operators: Operators) -> None:
             behind = next(f for f in site.controls if not f.leads)
             pairs = [
                 pair for ip in site.machines if ip != behind.ip for pair in ((ip, behind.ip), (behind.ip, ip))
@@ -105,19 +107,19 @@
             site.loop.after(3.0, site.loop.world, site.network.heal, pairs)
 
         with mock.patch.multiple(play_module, SNAPSHOT_INTERVALS=(10,), TAILS=(0,)):
-            played = self.day(Fault(6.6, "power-control", -1, 0.3), deeds=((3.5, cut),))
+            played = self.day(Fault(6.6, "power-control", -1, 0.3), actions=((3.5, cut),))
         self.assertTrue(list(played.history.of("image")))
 
     def test_claims_outlive_the_slowest_request(self) -> None:
         """A request may wait as long as its route lets it, and claim its key only then."""
 
-        def slow(site: Site, people: People, operators: Operators) -> None:
+        def slow(site: Site, clients: Clients, operators: Operators) -> None:
             operators.vers[0] = 40  # as seconds
             operators.change(0)
 
         played = self.day(every=9.0, seconds=9.0)
         self.assertTrue(list(played.history.of("rotated")))
-        played = self.day(every=9.0, seconds=9.0, deeds=((0.8, slow),))
+        played = self.day(every=9.0, seconds=9.0, actions=((0.8, slow),))
         self.assertEqual(list(played.history.of("rotated")), [])
 
     # Disks lost
@@ -172,20 +174,20 @@
     # Operators
 
     def test_identical_call_at_all_nodes_in_the_same_moment(self) -> None:
-        def twins(site: Site, people: People, operators: Operators) -> None:
+        def twins(site: Site, clients: Clients, operators: Operators) -> None:
             operators.twins(0)
 
         played = self.day(
             Fault(4.0, "kill-control", -1, 0.5),
             every=9.0,
-            deeds=tuple((at, twins) for at in (3.2, 3.99, 3.999, 5.5)),
+            actions=tuple((at, twins) for at in (3.2, 3.99, 3.999, 5.5)),
         )
         self.assertEqual(len(self.taken(played, 3.15, 9.0)), 12, "each is told that it stands")
 
     def test_change_without_a_clear_answer(self) -> None:
         """Its leader dies with it under way; the same call again is answered, and it counts once."""
 
-        def change(site: Site, people: People, operators: Operators) -> None:
+        def change(site: Site, clients: Clients, operators: Operators) -> None:
             operators.change(0)
 
         leads = (0.001, 0.006, 0.012, 0.02, 0.03)
@@ -193,15 +195,15 @@
             *(Fault(3.5 + n, "kill-control", -1, 0.3) for n in range(5)),
             every=9.0,
             seconds=9.0,
-            deeds=tuple((3.5 + n - lead, change) for n, lead in enumerate(leads)),
+            actions=tuple((3.5 + n - lead, change) for n, lead in enumerate(leads)),
         )
         self.assertEqual(len(self.taken(played, 3.15, 11.0)), 5)
 
     def test_20_changes_in_2_s(self) -> None:
-        def change(site: Site, people: People, operators: Operators) -> None:
+        def change(site: Site, clients: Clients, operators: Operators) -> None:
             operators.change(len(operators.taken) % 6)
 
-        played = self.day(every=9.0, deeds=tuple((3.5 + n / 10, change) for n in range(20)))
+        played = self.day(every=9.0, actions=tuple((3.5 + n / 10, change) for n in range(20)))
         self.assertEqual(len(self.taken(played, 3.4, 7.0)), 20)
         self.assertLess(max(delays(played.history)), 0.1)
 
--- a/tests/mesh/test_pages_seeds.py
+++ b/tests/mesh/test_pages_seeds.py
@@ -10,8 +10,8 @@
 
 from minthitch.mesh.configuration.settings import NodeSettings
 from minthitch.mesh.raft.node import RaftNode
+from rigs.simulation.clients import Clients, Operators
 from rigs.simulation.mesh import ControlNode, Node, Site
-from rigs.simulation.people import Operators, People
 from rigs.simulation.play import Day, Played, play
 
 CALM = Day(seconds=5.0, rate=0.5, every=0.5, quiet=5.2, failure_rate=0.0)
@@ -35,7 +35,7 @@
 
 class Seeds(unittest.TestCase):
     def test_a_control_node_without_its_disk_is_taken_in_though_its_seeds_name_no_leader(self) -> None:
-        def lose(site: Site, people: People, operators: Operators) -> None:
+        def lose(site: Site, clients: Clients, operators: Operators) -> None:
             node = follower(site, 0)
             told(node, f"{node.ip}:8000", f"{follower(site, 1).ip}:8000", DARK)
             node.stop(power=True)
@@ -49,7 +49,7 @@
     def test_a_spare_whose_seeds_name_one_follower_takes_the_place_of_one_that_is_gone(self) -> None:
         spares: list[ControlNode] = []
 
-        def replace(site: Site, people: People, operators: Operators) -> None:
+        def replace(site: Site, clients: Clients, operators: Operators) -> None:
             spare = ControlNode(site, "10.0.1.2")
             spare.starts = 1  # its first start is not that of the whole system
             told(spare, f"{follower(site, 1).ip}:8000", DARK)
@@ -69,8 +69,8 @@
                 voters = played.site.leader().server.raft.voters  # type: ignore[union-attr]
                 self.assertIn(spares[-1].server.raft.name, voters)  # type: ignore[union-attr]
 
-    def played(self, seed: int, deed: Any) -> Played:
-        return play(seed, [], CALM._replace(deeds=((3.0, deed),)))
+    def played(self, seed: int, action: Any) -> Played:
+        return play(seed, [], CALM._replace(actions=((3.0, action),)))
 
 
 if __name__ == "__main__":
--- a/tests/mesh/test_planned_work.py
+++ b/tests/mesh/test_planned_work.py
@@ -5,12 +5,12 @@
 import unittest
 
 from minthitch.mesh.sidecar.shutdown_schedule import ShutdownSchedule
+from rigs.simulation.clients import Clients, Operators
 from rigs.simulation.history import History
 from rigs.simulation.mesh import GRACE, Site
-from rigs.simulation.people import Operators, People
 from rigs.simulation.planned_work import TIMEOUT, play_planned_work
 from rigs.simulation.planted import planted
-from rigs.simulation.play import Day, Deed, Played, play
+from rigs.simulation.play import Action, Day, Played, play
 from rigs.simulation.schedule import Fault
 from rigs.simulation.shutdown_checks import broken_off
 
@@ -19,21 +19,21 @@
 CASE = Day(seconds=12.0, rate=0.2, quiet=9.0, failure_rate=0.0, timeout=TIMEOUT)
 
 
-def ask(kind: str, key: str = "") -> Deed:
-    def deed(site: Site, people: People, operators: Operators) -> None:
-        people.ask(site.sidecars[0], kind, key, lambda status, body: None, PATIENCE)
+def ask(kind: str, key: str = "") -> Action:
+    def action(site: Site, clients: Clients, operators: Operators) -> None:
+        clients.ask(site.sidecars[0], kind, key, lambda status, body: None, PATIENCE)
 
-    return deed
+    return action
 
 
-def silent_servers(site: Site, people: People, operators: Operators) -> None:
+def silent_servers(site: Site, clients: Clients, operators: Operators) -> None:
     for sidecar in site.sidecars:
         sidecar.server.silent_rate = 1.0
 
 
-def shut_down(*deeds: tuple[float, Deed]) -> Played:
+def shut_down(*actions: tuple[float, Action]) -> Played:
     """Sidecar 0 gets SIGTERM."""
-    return play(1, [Fault(SIGTERM_AT, "leave-sidecar", 0)], CASE._replace(deeds=deeds))
+    return play(1, [Fault(SIGTERM_AT, "leave-sidecar", 0)], CASE._replace(actions=actions))
 
 
 def answers(played: Played, sidecar: str, since: float, until: float) -> list[int]:
--- a/tests/mesh/test_promise.py
+++ b/tests/mesh/test_promise.py
@@ -5,15 +5,15 @@
 import unittest
 from typing import Any
 
+from rigs.simulation.clients import Clients, Operators
 from rigs.simulation.mesh import Site
-from rigs.simulation.people import Operators, People
 from rigs.simulation.play import Day, play
 
 SHORT = Day(seconds=6.0, rate=3.0, quiet=4.0, failure_rate=0.0)
 KEPT = ("idempotent", "keyed", "mutating", "upload")
 
 
-def shed(site: Site, people: People, operators: Operators) -> None:
+def shed(site: Site, clients: Clients, operators: Operators) -> None:
     """From now on all servers run what comes, and then say 503."""
     for sidecar in site.sidecars:
 
@@ -27,7 +27,7 @@
 
 class Promises(unittest.TestCase):
     def test_a_503_that_promises_nothing_is_not_passed_on_as_a_promise(self) -> None:
-        played = play(2, [], SHORT._replace(deeds=((2.5, shed),)))
+        played = play(2, [], SHORT._replace(actions=((2.5, shed),)))
         self.assertEqual(played.broken, [])
         asked = {e.data["id"]: e.data["kind"] for e in played.history.of("asked") if e.at > 2.6}
         told = {
--- a/tests/mesh/test_simulation.py
+++ b/tests/mesh/test_simulation.py
@@ -8,15 +8,15 @@
 from typing import Any
 from unittest import mock
 
-from rigs.simulation import people, servers
+from rigs.simulation import clients, servers
 from rigs.simulation.checks import violations
+from rigs.simulation.clients import Clients, Operators
 from rigs.simulation.history import Event, History
 from rigs.simulation.loop import Machine, VirtualLoop
 from rigs.simulation.mesh import CONTROLS, SIDECARS, Site
 from rigs.simulation.network import Network
-from rigs.simulation.people import Operators, People
 from rigs.simulation.planted import planted
-from rigs.simulation.play import Day, Deed, Played, play, shrink
+from rigs.simulation.play import Action, Day, Played, play, shrink
 from rigs.simulation.schedule import ALL, CORE, DISK_KEEPING, SYNC_S, Fault, draw_schedule, latest_end
 from rigs.simulation.storms import storm
 
@@ -24,16 +24,16 @@
 SEEDS = 18
 
 
-def case(schedule: list[Fault], *deeds: tuple[float, Deed], seed: int = 1) -> Played:
-    with mock.patch.object(people, "EARLY", 0.0):  # a client that leaves by chance hides what became of a key
-        return play(seed, schedule, SHORT._replace(rate=1.0, failure_rate=0.0, deeds=deeds))
+def case(schedule: list[Fault], *actions: tuple[float, Action], seed: int = 1) -> Played:
+    with mock.patch.object(clients, "EARLY", 0.0):  # one that leaves by chance hides what became of a key
+        return play(seed, schedule, SHORT._replace(rate=1.0, failure_rate=0.0, actions=actions))
 
 
-def keyed(sidecar: int, key: str) -> Deed:
-    def deed(site: Site, people: People, operators: Operators) -> None:
-        people.ask(site.sidecars[sidecar], "keyed", key, lambda status, body: None, 2.0)
+def keyed(sidecar: int, key: str) -> Action:
+    def action(site: Site, clients: Clients, operators: Operators) -> None:
+        clients.ask(site.sidecars[sidecar], "keyed", key, lambda status, body: None, 2.0)
 
-    return deed
+    return action
 
 
 def runs(played: Played, key: str) -> list[Event]:
@@ -46,11 +46,11 @@
     return [told.get(e.data["id"], 0) for e in played.history.of("asked") if e.data["key"] == key]
 
 
-def slots(number: int) -> Deed:
-    def deed(site: Site, people: People, operators: Operators) -> None:
+def slots(number: int) -> Action:
+    def action(site: Site, clients: Clients, operators: Operators) -> None:
         servers.SLOTS = number
 
-    return deed
+    return action
 
 
 class TurnedAway(unittest.TestCase):
@@ -125,7 +125,7 @@
             self.assertTrue(all(len(runs(played, f"dark{n}")) <= 1 for n in range(6)))
 
     def test_leader_changes_around_a_race_of_two_operators(self) -> None:
-        def race(site: Site, people: People, operators: Operators) -> None:
+        def race(site: Site, clients: Clients, operators: Operators) -> None:
             operators.race(0)
 
         for lead in (0.001, 0.015, 0.05):
