Simulation: histories are recorded and have listeners

Ruled out: a change of what is played (test_points, test_simulation, test_planned_work, test_budget, test_linearizable pass). Change: names, docstrings.

--- a/rigs/simulation/clients.py
+++ b/rigs/simulation/clients.py
@@ -40,12 +40,12 @@
 
     def respond(self, token: int, status: int, fields: Any, body: bytes) -> None:
         site = self.clients.site
-        site.say("told", self.sidecar.ip, id=self.name, status=status, body=body.decode())
+        site.record("told", self.sidecar.ip, id=self.name, status=status, body=body.decode())
         self._end(status, body)
 
     def reset(self) -> None:
         """The sidecar's process is gone, or nobody listens there."""
-        self.clients.site.say("unheard", self.sidecar.ip, id=self.name)
+        self.clients.site.record("unheard", self.sidecar.ip, id=self.name)
         self._end(0, b"")
 
     def _end(self, status: int, body: bytes) -> None:
@@ -119,7 +119,7 @@
         place, service = to or next((place, service) for k, place, service, _ in KINDS if k == kind)
         seconds = deadline or self.random.choice(self.deadlines)
         item = _incoming(kind, place, name, key, seconds, self.random)
-        self.site.say("asked", sidecar.ip, id=name, key=key, kind=kind, service=service, deadline=seconds)
+        self.site.record("asked", sidecar.ip, id=name, key=key, kind=kind, service=service, deadline=seconds)
         client = SimClientConnection(self, sidecar, name, done)
         if not sidecar.machine.running:
             client.reset()
@@ -143,7 +143,7 @@
         if client.over:
             return
         sidecar.clients.pop(client, None)
-        self.site.say("gave up", sidecar.ip, id=client.name, early=early)
+        self.site.record("gave up", sidecar.ip, id=client.name, early=early)
         client._end(-1, b"")
         front = sidecar.front
         if front is not None:
@@ -238,7 +238,7 @@
         self.vers[number] += 1
         call = self._upsert(number, self.vers[number], 1.0 + self.vers[number])
         for control in self.site.controls:
-            self.site.say("sent", "operator", call=call, sort="proper")
+            self.site.record("sent", "operator", call=call, sort="proper")
             self._patch(call, "proper", control, [False])
 
     def _upsert(self, number: int, ver: int, timeout: float) -> dict[str, Any]:
@@ -251,7 +251,7 @@
         self.patch(call, "invalid")
 
     def patch(self, call: dict[str, Any], sort: str) -> None:
-        self.site.say("sent", "operator", call=call, sort=sort)
+        self.site.record("sent", "operator", call=call, sort=sort)
         self._patch(call, sort, self.random.choice(self.site.controls), [False])
 
     def _patch(self, call: dict[str, Any], sort: str, control: ControlNode, over: list[bool]) -> None:
@@ -275,7 +275,7 @@
             over[0] = True
             if result[0] == 200:
                 self.taken.append(call)
-            self.site.say("verdict", control.ip, call=call, sort=sort, status=result[0])
+            self.site.record("verdict", control.ip, call=call, sort=sort, status=result[0])
 
         body = json.dumps(call).encode()
         if control.machine.running and control.machine.powered:
@@ -292,7 +292,7 @@
         def told(result: tuple[Any, ...] | None) -> None:
             if result is not None and not done[0]:
                 done[0] = True
-                self.site.say("fetched", control.ip, body=json.loads(result[0]))
+                self.site.record("fetched", control.ip, body=json.loads(result[0]))
 
         def again() -> None:
             if not done[0]:
--- a/rigs/simulation/ctl.py
+++ b/rigs/simulation/ctl.py
@@ -35,7 +35,7 @@
     ) -> None:
         """Sends it to one node after another until the answer is clear; `sort` as for operators' calls."""
         self.orders += 1
-        self.site.say("sent", "operator", call=call, sort=sort, order=self.orders)
+        self.site.record("sent", "operator", call=call, sort=sort, order=self.orders)
         place = self.random.randrange(len(self.site.controls)) if node is None else node
         _Order(self, call, sort, self.orders, done).send(place)
 
@@ -48,9 +48,9 @@
             if result is None:
                 return
             if isinstance(result[0], bytes):
-                self.site.say("read", control.ip, begin=begin, body=json.loads(result[0]))
+                self.site.record("read", control.ip, begin=begin, body=json.loads(result[0]))
             else:
-                self.site.say("fault", control.ip, why=f"a read was answered with {result!r}")
+                self.site.record("fault", control.ip, why=f"a read was answered with {result!r}")
 
         _Attempt(self, self.site.controls[place], "fetch", (), told)
 
@@ -80,7 +80,7 @@
 
         def told(control: ControlNode, result: Result) -> None:
             if result is not None and not isinstance(result[0], int):
-                self.client.site.say("fault", control.ip, why="an order was answered with a configuration")
+                self.client.site.record("fault", control.ip, why="an order was answered with a configuration")
                 return
             self._ended(place, control, begin, None if result is None else result[0])
 
@@ -88,7 +88,7 @@
 
     def _ended(self, place: int, control: ControlNode, begin: float, status: int | None) -> None:
         site, loop = self.client.site, self.client.loop
-        site.say("order", control.ip, begin=begin, call=self.call, status=status, order=self.number)
+        site.record("order", control.ip, begin=begin, call=self.call, status=status, order=self.number)
         if status is None:
             pause = PAUSES[min(self.tries, len(PAUSES)) - 1]
             loop.after(pause, loop.world, self.send, place + 1)
@@ -96,8 +96,8 @@
         if status == 200:
             voters = _voters(site)
             held = sum(holds(node, self.call) for node in voters)
-            site.say("copies", control.ip, order=self.number, count=held, needed=len(voters) // 2 + 1)
-        site.say("verdict", control.ip, call=self.call, sort=self.sort, status=status, order=self.number)
+            site.record("copies", control.ip, order=self.number, count=held, needed=len(voters) // 2 + 1)
+        site.record("verdict", control.ip, call=self.call, sort=self.sort, status=status, order=self.number)
         if self.done is not None:
             self.done(status)
 
@@ -132,7 +132,7 @@
         site, loop = self.client.site, self.client.loop
         if self.control.machine.life != self.life:
             return
-        site.say("waited", self.control.ip, seconds=loop.now - self.begin, clear=result is not None)
+        site.record("waited", self.control.ip, seconds=loop.now - self.begin, clear=result is not None)
         if self.client.random.random() < self.client.lost:
             if self.client.random.random() < 0.5:  # the connection breaks; else there is silence
                 loop.after(WAY, loop.world, self._end, None)
--- a/rigs/simulation/cuts.py
+++ b/rigs/simulation/cuts.py
@@ -45,8 +45,8 @@
     pairs = [(ip, control.ip) for ip in others if cut.way != "out"]
     pairs += [(control.ip, ip) for ip in others if cut.way != "in"]
     kind = f"cut-{cut.way}-{cut.mode}"
-    site.say("struck", control.ip, kind=kind, state=control.state)
-    site.say("trouble", "core", kind=kind)
+    site.record("struck", control.ip, kind=kind, state=control.state)
+    site.record("trouble", "core", kind=kind)
     for pair in pairs:
         network.cut(*pair)
     if cut.mode == "refuse" and isinstance(network, RefusingNetwork):
@@ -58,7 +58,7 @@
         if isinstance(network, RefusingNetwork):
             network.refusing.discard(control.ip)
         network.heal(pairs)
-        site.say("well", "core", kind=kind)
+        site.record("well", "core", kind=kind)
 
     def reset_again() -> None:
         if loop.now < until:
@@ -77,13 +77,13 @@
     """Its process ends and is started again."""
     if not control.machine.running:
         return
-    site.say("struck", control.ip, kind="restart", state=control.state)
-    site.say("trouble", "core", kind="restart")
+    site.record("struck", control.ip, kind="restart", state=control.state)
+    site.record("trouble", "core", kind="restart")
     control.stop(power=power)
 
     def back() -> None:
         if not control.machine.running:
             control.start()
-        site.say("well", "core", kind="restart")
+        site.record("well", "core", kind="restart")
 
     site.loop.after(away, site.loop.world, back)
--- a/rigs/simulation/fault_injector.py
+++ b/rigs/simulation/fault_injector.py
@@ -30,7 +30,7 @@
         self.site, self.loop, self.schedule = site, site.loop, schedule
         self.undo: list[Callable[[], None]] = []
         self.sender_of: dict[str, str] = {}  # request id: address of the sidecar that sent it
-        site.history.ears.append(self._remember_sender)
+        site.history.listeners.append(self._remember_sender)
 
     def start(self) -> None:
         """Schedules all faults."""
@@ -39,11 +39,11 @@
 
     def heal(self) -> None:
         """Ends all faults that are still active."""
-        self.site.history.ears.clear()
+        self.site.history.listeners.clear()
         undo, self.undo = self.undo, []
         for call in undo:
             call()
-        self.site.say("healed", "world")
+        self.site.record("healed", "world")
 
     def _inject(self, fault: Fault) -> None:
         if fault.kind in TRIGGERS:
@@ -63,15 +63,15 @@
             self._fail_one(fault, sidecar, sidecar.ip)
 
     def _record(self, fault: Fault, control: ControlNode) -> None:
-        self.site.say("struck", control.ip, kind=fault.kind, state=control.state)
+        self.site.record("struck", control.ip, kind=fault.kind, state=control.state)
 
     def _keep_active(self, fault: Fault, scope: str, end: Callable[[], None]) -> None:
         """Calls `end` once: when the duration is over, or when all is healed."""
-        self.site.say("trouble", scope, kind=fault.kind)
+        self.site.record("trouble", scope, kind=fault.kind)
 
         def ended() -> None:
             end()
-            self.site.say("well", scope, kind=fault.kind)
+            self.site.record("well", scope, kind=fault.kind)
 
         def due() -> None:
             if ended in self.undo:
@@ -129,7 +129,7 @@
 
         def listener(event: Event) -> None:
             if event.what == trigger.event and trigger.text in str(event.data):
-                self.site.history.ears.remove(listener)
+                self.site.history.listeners.remove(listener)
                 now = fault._replace(kind=trigger.kind)
                 if trigger.kind in ALL:
                     self._call_soon(self._fail_all, now)
@@ -144,12 +144,12 @@
         self._subscribe(listener)
 
     def _subscribe(self, listener: Callable[[Event], None]) -> None:
-        ears = self.site.history.ears
-        ears.append(listener)
+        listeners = self.site.history.listeners
+        listeners.append(listener)
 
         def unsubscribe() -> None:
-            if listener in ears:
-                ears.remove(listener)
+            if listener in listeners:
+                listeners.remove(listener)
 
         self.loop.after(EVENT_TIMEOUT_S, self.loop.world, unsubscribe)
 
@@ -203,7 +203,7 @@
     def _lose_disk(self, fault: Fault, control: ControlNode, kind: str) -> None:
         """Its disk is lost with its power, but only while all replicas are up to date."""
         if not self.site.taken_in():
-            self.site.say("unsynced", control.ip)
+            self.site.record("unsynced", control.ip)
             return
         control.stop(power=True)
         control.disk.wipe(LOSSES.get(kind, Condition.EMPTY))
@@ -251,7 +251,7 @@
         """
         leader = self.site.leader()
         if not self.site.taken_in():
-            self.site.say("unsynced", leader.ip)
+            self.site.record("unsynced", leader.ip)
             return
         others = [control for control in self.site.controls if control is not leader]
         self.loop.random.shuffle(others)
@@ -269,7 +269,7 @@
         def listener(event: Event) -> None:
             if event.what != "verdict" or event.data["status"] != 200 or event.at < since:
                 return
-            self.site.history.ears.remove(listener)
+            self.site.history.listeners.remove(listener)
             if not hung:
                 self._record(fault, leader)
                 self._record(fault, second)
@@ -288,7 +288,7 @@
     def _shut_down(self, fault: Fault, node: ControlNode | SidecarNode) -> None:
         """SIGTERM, and the end of its process as soon as it may; it starts again after that."""
         began, life = self.loop.now, node.machine.life
-        self.site.say("sigterm", node.ip)
+        self.site.record("sigterm", node.ip)
         node.leave()
 
         def may_end() -> bool:
@@ -297,7 +297,7 @@
         def end_when_idle() -> None:
             if node.machine.life == life and node.machine.running:
                 if may_end():
-                    self.site.say("left", node.ip)
+                    self.site.record("left", node.ip)
                     node.stop()
                 else:
                     self.loop.after(0.1, self.loop.world, end_when_idle)
@@ -328,7 +328,7 @@
 
     def _fail_server(self, fault: Fault, sidecar: SidecarNode) -> None:
         server, loop = sidecar.server, self.loop
-        self.site.say("server trouble", sidecar.ip, kind=fault.kind)
+        self.site.record("server trouble", sidecar.ip, kind=fault.kind)
         if fault.kind.endswith("stalls"):
             server.stalled_until = loop.now + fault.duration
         elif not server.up:
--- a/rigs/simulation/history.py
+++ b/rigs/simulation/history.py
@@ -7,6 +7,8 @@
 
 
 class Event(NamedTuple):
+    """One thing that happened, at whom, with its values by name."""
+
     at: float
     what: str
     who: str
@@ -14,22 +16,25 @@
 
 
 class History:
-    """Events, and who wants to hear of them as they come (faults that strike just then)."""
+    """Events in their order. Listeners are called with each as it comes: faults that strike just then."""
 
     def __init__(self) -> None:
         self.events: list[Event] = []
-        self.ears: list[Callable[[Event], None]] = []
+        self.listeners: list[Callable[[Event], None]] = []
 
     def add(self, at: float, what: str, who: str, **data: Any) -> None:
+        """Appends an event."""
         event = Event(at, what, who, data)
         self.events.append(event)
-        for ear in list(self.ears):
-            ear(event)
+        for listener in list(self.listeners):
+            listener(event)
 
     def of(self, *kinds: str) -> Iterator[Event]:
+        """All events of these kinds."""
         return (event for event in self.events if event.what in kinds)
 
     def shown(self, word: str = "") -> str:
+        """A line for each event that has this word in it."""
         return "\n".join(
             f"{e.at:9.4f} {e.what:10s} {e.who:12s} {e.data}"
             for e in self.events
--- a/rigs/simulation/mesh.py
+++ b/rigs/simulation/mesh.py
@@ -117,23 +117,23 @@
 
         def loaded(snapshot: bytes) -> None:
             load(snapshot)
-            self.site.say("image", self.ip, size=len(snapshot))
+            self.site.record("image", self.ip, size=len(snapshot))
 
         def rotated() -> None:
             rotate()
             if self.leads:
-                self.site.say("rotated", self.ip)
+                self.site.record("rotated", self.ip)
 
         state.restore, state.claims.rotate = loaded, rotated  # type: ignore[method-assign]
 
     def _written(self) -> None:
-        for ear in list(self.site.writes):
-            ear(self)
+        for listener in list(self.site.writes):
+            listener(self)
 
     def _look(self, server: ControlServer) -> None:
         """As its program does: it ends where it has found a promise broken."""
         if server.finished.is_set():
-            self.site.say("fault", self.ip, why=f"ended by itself: {server.failure!r}")
+            self.site.record("fault", self.ip, why=f"ended by itself: {server.failure!r}")
             self.loop.after(0.0, self.loop.world, self.stop)
             self.loop.after(1.0, self.loop.world, self.start)
             return
@@ -211,14 +211,14 @@
         front.changed = changed  # type: ignore[method-assign]
         self._watch_claims(front)
         self.site.network.listen(self.machine, lambda: Connection(front), self.ip, PORT)
-        self.site.say("start", self.ip)
+        self.site.record("start", self.ip)
 
     def _watch_claims(self, front: Front) -> None:
         claim, life = front.controls.claim, self.machine.life
 
         def watched(body: tuple[Any, ...], deadline: float, done: Claimed) -> None:
             def told(verdict: str, owner: str, name: bytes, digest: bytes) -> None:
-                self.site.say("claim", self.ip, key=body[0].hex(), verdict=verdict, owner=owner)
+                self.site.record("claim", self.ip, key=body[0].hex(), verdict=verdict, owner=owner)
                 if self.machine.life == life:  # else it was killed right here
                     done(verdict, owner, name, digest)
 
@@ -232,7 +232,7 @@
             for row in front.controls.replica._rows.values()
             if row.section == ROUTES
         }
-        self.site.say("table", self.ip, life=self.starts, index=front.controls.replica.index, rows=rows)
+        self.site.record("table", self.ip, life=self.starts, index=front.controls.replica.index, rows=rows)
 
     def leave(self) -> None:
         """As its program does after SIGTERM; a second one changes nothing."""
@@ -270,7 +270,7 @@
         self.loop = VirtualLoop(seed)
         self.random = self.loop.random
         self.history = History()
-        self.loop.failures = lambda who, what: self.say("fault", who, why=what)
+        self.loop.failures = lambda who, what: self.record("fault", who, why=what)
         self.network = make_network(self.loop)
         self.make_control, self.make_front = make_control, make_front
         self.sync = self.random.choice(((0.002, 0.012), (0.01, 0.06)))  # seconds of a write at its disks
@@ -282,7 +282,7 @@
         # Called when a write begins at a control node.
         self.writes: list[Callable[[ControlNode], None]] = []
 
-    def say(self, what: str, who: str, **data: Any) -> None:
+    def record(self, what: str, who: str, **data: Any) -> None:
         self.history.add(self.loop.now, what, who, **data)
 
     def start(self, failure_rate: float | None = None) -> None:
--- a/rigs/simulation/play.py
+++ b/rigs/simulation/play.py
@@ -104,12 +104,12 @@
     loop.after(day.seconds + day.quiet, loop.world, operators.read_back)
     loop.after(day.seconds + day.quiet, loop.world, _look, site)
     loop.run_until(day.seconds + day.quiet + 2.0)
-    site.say("end", "world")
+    site.record("end", "world")
 
 
 def _look(site: Site) -> None:
     if not site.taken_in():
-        site.say("unsynced", "world")
+        site.record("unsynced", "world")
 
 
 def shrink(seed: int, schedule: Sequence[Fault], day: Day = Day(), most: int = 60) -> list[Fault]:  # noqa: B008
--- a/rigs/simulation/points/isolation.py
+++ b/rigs/simulation/points/isolation.py
@@ -27,7 +27,7 @@
 
     def strike(site: Site, client: ControlClient) -> None:
         control = target_of(site, target, draw)
-        client.site.say("target", control.ip, kind=target, way=way, mode=mode)
+        client.site.record("target", control.ip, kind=target, way=way, mode=mode)
         cut_off(site, control, cut)
 
     script.at(at, strike)
--- a/rigs/simulation/points/many_changes.py
+++ b/rigs/simulation/points/many_changes.py
@@ -41,7 +41,7 @@
                 restart(site, target, power=True)
             else:
                 lose_disk(site, target, for_good=False)
-        site.say("end of changes", "core", kind=end)
+        site.record("end of changes", "core", kind=end)
         for control in targets:
             site.loop.after(0.6, site.loop.world, _poll_until_serving, site, control, site.loop.now)
 
@@ -52,12 +52,12 @@
 
 
 def _lose_all_power(site: Site) -> None:
-    site.say("trouble", "core", kind="power")
+    site.record("trouble", "core", kind="power")
     for control in site.controls:
-        site.say("struck", control.ip, kind="power", state=control.state)
+        site.record("struck", control.ip, kind="power", state=control.state)
         control.stop(power=True)
         site.loop.after(0.5, site.loop.world, control.start)
-    site.loop.after(0.5, site.loop.world, lambda: site.say("well", "core", kind="power"))
+    site.loop.after(0.5, site.loop.world, lambda: site.record("well", "core", kind="power"))
 
 
 def big_list(routes: int, ver: int) -> dict[str, Any]:
@@ -85,6 +85,6 @@
         and server.is_up_to_date(site.loop.now + control.machine.offset)
         and is_voter(control)
     ):
-        site.say("caught up", control.ip, took=site.loop.now - since)
+        site.record("caught up", control.ip, took=site.loop.now - since)
         return
     site.loop.after(0.02, site.loop.world, _poll_until_serving, site, control, since)
--- a/rigs/simulation/points/second_loss.py
+++ b/rigs/simulation/points/second_loss.py
@@ -45,8 +45,8 @@
     if kind == "cut":
         cut_off(site, target, Cut(site.loop.now, away))
         return
-    site.say("struck", target.ip, kind=f"second {kind}", state=target.state)
-    site.say("trouble", "core", kind="second")
+    site.record("struck", target.ip, kind=f"second {kind}", state=target.state)
+    site.record("trouble", "core", kind="second")
     if kind == "freeze":
         site.loop.freeze(target.machine)
     else:
@@ -59,7 +59,7 @@
             site.loop.thaw(target.machine)
         else:
             target.start()
-        site.say("well", "core", kind="second")
+        site.record("well", "core", kind="second")
 
     site.loop.after(away, site.loop.world, back)
 
@@ -77,15 +77,15 @@
 
 def lose_disk(site: Site, control: ControlNode, for_good: bool) -> None:
     """Its machine ends with its disk; it is back empty at once, or never."""
-    site.say("struck", control.ip, kind="gone" if for_good else "wipe", state=control.state)
-    site.say("trouble", "core", kind="first")
+    site.record("struck", control.ip, kind="gone" if for_good else "wipe", state=control.state)
+    site.record("trouble", "core", kind="first")
     control.stop(power=True)
     control.disk.wipe()
 
     def over() -> None:
         if not for_good:
             control.start()
-        site.say("well", "core", kind="first")
+        site.record("well", "core", kind="first")
 
     site.loop.after(0.5, site.loop.world, over)
 
--- a/rigs/simulation/points/stale_sidecar.py
+++ b/rigs/simulation/points/stale_sidecar.py
@@ -28,7 +28,7 @@
 
     def cut(site: Site, client: ControlClient) -> None:
         stale.append(site.leader() if seed % 2 else draw.choice([c for c in site.controls if not c.leads]))
-        site.say("struck", stale[0].ip, kind="cut from controls", state=stale[0].state)
+        site.record("struck", stale[0].ip, kind="cut from controls", state=stale[0].state)
         others = [control.ip for control in site.controls if control is not stale[0]]
         sidecars = [site.sidecars[number].ip for number in STALE_PAIR]
         _partition_pairs(
@@ -46,11 +46,11 @@
 
     def restart_sidecar(site: Site, client: ControlClient) -> None:
         sidecar = site.sidecars[STALE_PAIR[0]]
-        site.say("trouble", sidecar.ip, kind="restart")
+        site.record("trouble", sidecar.ip, kind="restart")
         sidecar.stop()
         site.loop.after(0.3, site.loop.world, sidecar.start)
         site.loop.after(0.4, site.loop.world, _poll_until_ready, site, sidecar.ip)
-        site.loop.after(0.4, site.loop.world, lambda: site.say("well", sidecar.ip, kind="restart"))
+        site.loop.after(0.4, site.loop.world, lambda: site.record("well", sidecar.ip, kind="restart"))
 
     script.at(PARTITION_AT_S, cut)
     for when in (2.5, 4.2, 4.8, 7.0):
@@ -68,12 +68,12 @@
     pairs = [pair for ip in ips for other in others for pair in ((ip, other), (other, ip))]
     new = site.network.partition(pairs)
     for scope in scopes:
-        site.say("trouble", scope, kind="cut")
+        site.record("trouble", scope, kind="cut")
 
     def healed() -> None:
         site.network.heal(new)
         for scope in scopes:
-            site.say("well", scope, kind="cut")
+            site.record("well", scope, kind="cut")
 
     site.loop.after(seconds, site.loop.world, healed)
 
@@ -87,9 +87,9 @@
     row = front.controls.replica._rows.get((ROUTES, "p0")) if front is not None else None
     state = {"held": row.version if row is not None else 0, "acked": newest}
     if front is not None and front.table is not None and front.controls.replica.index and not front.ready():
-        site.say("fed", ip, **state)
+        site.record("fed", ip, **state)
     if front is not None and front.ready():
-        site.say("ready", ip, **state)
+        site.record("ready", ip, **state)
         return
     site.loop.after(0.02, site.loop.world, _poll_until_ready, site, ip)
 
--- a/rigs/simulation/servers.py
+++ b/rigs/simulation/servers.py
@@ -28,7 +28,7 @@
     @property
     def random(self) -> random.Random: ...
 
-    def say(self, what: str, who: str, **data: Any) -> None:
+    def record(self, what: str, who: str, **data: Any) -> None:
         """Adds an event to the history."""
 
 
@@ -130,12 +130,12 @@
         """Begins a new incarnation."""
         self.number += 1
         self.up, self.state, self.seq = True, "up", 0
-        self.site.say("server", self.life, state="up")
+        self.site.record("server", self.life, state="up")
         self._heartbeat_loop(self.number)
 
     def crash(self) -> None:
         self.up = False
-        self.site.say("server", self.life, state="gone")
+        self.site.record("server", self.life, state="gone")
         self.reset_requests()
 
     def reset_requests(self) -> None:
@@ -168,7 +168,7 @@
 
         def deliver(front: Any) -> None:
             front.admission.beat(life, body)
-            self.site.say("beaten", life, state=state)
+            self.site.record("beaten", life, state=state)
 
         self.sidecar_call(deliver)
 
@@ -195,16 +195,16 @@
             "target": call.message.target.decode(),
         }
         if call.life.decode() != self.life:
-            self.site.say("arrival", self.sidecar.ip, ran=False, **who)
+            self.site.record("arrival", self.sidecar.ip, ran=False, **who)
             pool.ended(call, Outcome(NOT_RUN, 421, why="turned away"))
             return
         if len(self.running) >= 2 * SLOTS:
-            self.site.say("arrival", self.sidecar.ip, ran=False, **who)
+            self.site.record("arrival", self.sidecar.ip, ran=False, **who)
             pool.ended(call, Outcome(NOT_RUN, 503, why="turned away"))
             return
         if wire.dropped:
             return
-        self.site.say("arrival", self.sidecar.ip, ran=True, **who)
+        self.site.record("arrival", self.sidecar.ip, ran=True, **who)
         self._work(pool, call, name, key, left if self.keeps_deadlines else math.inf)
 
     def _work(self, pool: SimServerPool, call: UpstreamCall, name: str, key: str, left: float) -> None:
@@ -236,7 +236,7 @@
         if self.running.pop(call, None) is None:
             return
         name = call.identity
-        self.site.say("served", self.sidecar.ip, id=name.decode(), status=status, body=body.decode())
+        self.site.record("served", self.sidecar.ip, id=name.decode(), status=status, body=body.decode())
         if status == SILENT:
             return
         if status == 0:
--- a/tests/mesh/test_budget.py
+++ b/tests/mesh/test_budget.py
@@ -384,7 +384,7 @@
 
     def action(site: Site, clients: Clients, operators: Operators) -> None:
         operators.patch({"Upsert": {"Routes": [route("inner", 1, "/n/", "idempotent", "bank")]}}, "proper")
-        site.history.ears.append(
+        site.history.listeners.append(
             lambda event: count.update([event.data["id"]] if event.what == "arrival" else ())
         )
 
@@ -398,7 +398,7 @@
 
             for _ in range(2):
                 ident = clients.ask(sidecar, "idempotent", "", answer, 1.0, to=("/n/", "bank"))
-                site.say("inner", sidecar.ip, id=ident, repeat=count[name] > 1)
+                site.record("inner", sidecar.ip, id=ident, repeat=count[name] > 1)
 
         for sidecar in site.sidecars[:3]:
             site.loop.after(1.0, site.loop.world, setattr, sidecar.server, "nested_call", inner)
