Simulation, read once more: one test of calm for both checks, shutdowns without type tests

Cause: the checks lost and broken_off had the same test of calm written out twice; _shut_down asked three times what kind of node it has, though it is told the scope, and nodes can say how long they take. Change: _is_calm, shutdown_s of each node, may_end with one signature; a broken docstring, a type.

--- a/rigs/simulation/fault_injector.py
+++ b/rigs/simulation/fault_injector.py
@@ -6,7 +6,7 @@
 
 from minthitch.mesh.storage.store import Condition
 from rigs.simulation.history import Event
-from rigs.simulation.mesh import GRACE, ControlNode, SidecarNode, Site
+from rigs.simulation.mesh import ControlNode, SidecarNode, Site
 from rigs.simulation.schedule import (
     ALL,
     CONTROL_WORK,
@@ -20,8 +20,6 @@
     Fault,
 )
 
-CONTROL_SHUTDOWN_S = 1.3  # until a control node in SIGTERM has ended, at the latest
-
 
 class FaultInjector:
     """Injects each fault of a schedule at its time, and ends it when its duration is over."""
@@ -186,7 +184,7 @@
             life = machine.life
             self._keep_active(fault, scope, lambda: self.loop.thaw(machine) if machine.life == life else None)
         elif kind == "leave":
-            self._shut_down(fault, node)
+            self._shut_down(fault, node, scope)
         elif kind == "slow":
             machine.lag = 0.05
             self._keep_active(fault, scope, lambda: setattr(machine, "lag", 0.0))
@@ -285,18 +283,15 @@
 
         self._subscribe(listener)
 
-    def _shut_down(self, fault: Fault, node: ControlNode | SidecarNode) -> None:
+    def _shut_down(self, fault: Fault, node: ControlNode | SidecarNode, scope: str) -> None:
         """SIGTERM, and the end of its process as soon as it may; it starts again after that."""
         began, life = self.loop.now, node.machine.life
         self.site.record("sigterm", node.ip)
         node.leave()
 
-        def may_end() -> bool:
-            return node.may_end(began) if isinstance(node, SidecarNode) else node.may_end()
-
         def end_when_idle() -> None:
             if node.machine.life == life and node.machine.running:
-                if may_end():
+                if node.may_end(began):
                     self.site.record("left", node.ip)
                     node.stop()
                 else:
@@ -308,9 +303,7 @@
             self._start(node)
 
         end_when_idle()
-        is_sidecar = isinstance(node, SidecarNode)
-        duration = GRACE + RESTART_S if is_sidecar else CONTROL_SHUTDOWN_S + RESTART_S
-        self._keep_active(fault._replace(duration=duration), node.ip if is_sidecar else "core", ended)
+        self._keep_active(fault._replace(duration=node.shutdown_s + RESTART_S), scope, ended)
 
     def _partition(self, fault: Fault, node: ControlNode | SidecarNode, kind: str, scope: str) -> None:
         network = self.site.network
--- a/rigs/simulation/mesh.py
+++ b/rigs/simulation/mesh.py
@@ -89,6 +89,8 @@
 
 
 class ControlNode(Node):
+    shutdown_s = 1.3  # until it has ended after SIGTERM, at the latest
+
     def __init__(self, site: Site, ip: str) -> None:
         super().__init__(site, ip)
         self.disk = SimDisk(site.sync)
@@ -145,7 +147,7 @@
             self.leaving = True
             self.loop.after(0.0, self.machine, self.server.begin_shutdown)
 
-    def may_end(self) -> bool:
+    def may_end(self, began: float) -> bool:
         return self.server is None or self.server.may_end.is_set()
 
     def fallen(self, power: bool) -> None:
@@ -181,6 +183,8 @@
 
 
 class SidecarNode(Node):
+    shutdown_s = GRACE
+
     def __init__(self, site: Site, ip: str, service: str) -> None:
         super().__init__(site, ip)
         self.service = service
--- a/rigs/simulation/planned_work.py
+++ b/rigs/simulation/planned_work.py
@@ -7,11 +7,10 @@
 from __future__ import annotations
 
 import random
-from typing import Any
 
 from rigs.simulation.clients import Clients, Operators
 from rigs.simulation.mesh import CONTROLS, GRACE, SIDECARS, Site
-from rigs.simulation.play import Day, Played, play
+from rigs.simulation.play import Action, Day, Played, play
 from rigs.simulation.schedule import SYNC_S, Fault
 
 FIRST_S, LAST_S = 3.0, 12.0  # of these days: the first SIGTERM, and the end of slow and silent servers
@@ -50,7 +49,7 @@
     return sorted(schedule), day
 
 
-def _servers(slowdown: float = 1.0, silent_rate: float = 0.0) -> Any:
+def _servers(slowdown: float = 1.0, silent_rate: float = 0.0) -> Action:
     def action(site: Site, clients: Clients, operators: Operators) -> None:
         for sidecar in site.sidecars:
             sidecar.server.slowdown, sidecar.server.silent_rate = slowdown, silent_rate
--- a/rigs/simulation/shutdown_checks.py
+++ b/rigs/simulation/shutdown_checks.py
@@ -20,19 +20,23 @@
     return [sidecar for n, sidecar in enumerate(SIDECARS) if SERVICES[n // 3] == service]
 
 
-def lost(history: History) -> list[str]:
-    """A sidecar that leaves in order answers what it has read, where no trouble came before it or meanwhile
-    at
-    itself, at the core or at the machines that the request may have gone to.
+def _is_calm(calm: Calm, ask: Event, answer: Event) -> bool:
+    """Whether no unplanned trouble came near a request and its answer.
+
+    Neither at its sidecar, nor at the core, nor at the machines that it may have gone to.
     """
+    machines = ("core", answer.who, *servers_of(ask.data["service"]))
+    return all(calm.calm(who, ask.at - CONTACT, answer.at) for who in machines)
+
+
+def lost(history: History) -> list[str]:
+    """A sidecar that leaves in order answers what it has read, beside planned work only."""
     asked, left = asked_requests(history), {(e.who, e.at) for e in history.of("left")}
     calm, found = Calm(history, PLANNED), []
     for event in history.of("unheard"):
         ask = asked[event.data["id"]]
-        if (event.who, event.at) in left and ask.at < event.at - LOST_S:
-            servers = servers_of(ask.data["service"])
-            if all(calm.calm(who, ask.at - CONTACT, event.at) for who in ("core", event.who, *servers)):
-                found.append(f"LOST: {event.data['id']} at {event.who}, which left at {event.at:.3f}")
+        if (event.who, event.at) in left and ask.at < event.at - LOST_S and _is_calm(calm, ask, event):
+            found.append(f"LOST: {event.data['id']} at {event.who}, which left at {event.at:.3f}")
     return found
 
 
@@ -55,11 +59,9 @@
                 continue
             if ask.at <= term.at + EARLY_S and event.at >= term.at + CUT_OFF_FROM_S:
                 continue
-            since = ask.at - CONTACT
-            machines = ("core", event.who, *servers_of(ask.data["service"]))
-            if any(since <= at <= event.at for at in mishaps):
+            if any(ask.at - CONTACT <= at <= event.at for at in mishaps):
                 continue
-            if all(calm.calm(who, since, event.at) for who in machines):
+            if _is_calm(calm, ask, event):
                 found.append(
                     f"LOST: {event.data['id']} got {event.data['status']} at {event.who} at {event.at:.3f}, "
                     f"while its server was at work; SIGTERM at {term.at:.3f}"
