review: case 2, a server that has left is taken back by a late heartbeat

A fault of hand-over: a Deregister that was acknowledged is forgotten with the sidecar's process. Change: review/2 (script); the shared stand-ins can leave, and reset their connections when they end.

--- a/review/lib/mesh.py
+++ b/review/lib/mesh.py
@@ -211,16 +211,17 @@
         self.seq, self.running, self.runs, self.queue = 0, 0, 0, 4 * slots
         self.free = asyncio.Semaphore(slots)
         self.state = "up"
-        self.acks: list[tuple[float, str]] = []  # when which state was acknowledged
         self.listener: asyncio.Server | None = None
         self.tasks: set[asyncio.Task[Any]] = set()
+        self.beating: asyncio.Task[Any] | None = None
+        self.writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
         """Listen, and send heartbeats."""
         self.listener = await asyncio.start_server(
             self._serve, self.ip, self.mesh.ports["server"], limit=1 << 20
         )
-        self._spawn(self._beat())
+        self.beating = self._spawn(self._beat())
 
     def _spawn(self, call: Any) -> asyncio.Task[Any]:
         task = asyncio.get_running_loop().create_task(call)
@@ -236,24 +237,36 @@
     async def beat_once(self) -> bool:
         """One heartbeat with the present state; whether it was acknowledged."""
         self.seq += 1
-        state = self.state
-        body = json.dumps(
+        return await self.deliver(self.beat())
+
+    def beat(self) -> bytes:
+        """The body of a heartbeat of now."""
+        return json.dumps(
             {
                 "Addr": f"{self.ip}:{self.mesh.ports['server']}",
                 "Summary": {"Svc": self.service, "Ver": "v1", "Az": self.zone, "Cap": self.slots},
-                "Stat": {"State": state, "Seq": self.seq, "ColdS": 0},
+                "Stat": {"State": self.state, "Seq": self.seq, "ColdS": 0},
             }
         ).encode()
-        answer = await ask(
-            self.ip, self.mesh.ports["ctl"], "POST", f"/Instances.Heartbeat/{self.life}", {}, body, 1.0
-        )
-        taken = answer is not None and answer.status == 200
-        if taken:
-            self.acks.append((asyncio.get_running_loop().time(), state))
-        return taken
+
+    async def deliver(self, body: bytes) -> bool:
+        """Send a heartbeat to the sidecar beside this server; whether it was acknowledged."""
+        return await self._call_sidecar("Heartbeat", body)
+
+    async def deregister(self) -> bool:
+        """Send no heartbeats from now on, and say that this server is gone; whether it was acknowledged."""
+        if self.beating is not None:
+            self.beating.cancel()
+        return await self._call_sidecar("Deregister", b"{}")
+
+    async def _call_sidecar(self, call: str, body: bytes) -> bool:
+        path = f"/Instances.{call}/{self.life}"
+        answer = await ask(self.ip, self.mesh.ports["ctl"], "POST", path, {}, body, 1.0)
+        return answer is not None and answer.status == 200
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         task: asyncio.Task[None] | None = None
+        self.writers.add(writer)
         try:
             while (asked := await read_message(reader)) is not None:
                 task = self._spawn(self._handle(asked, writer))
@@ -266,6 +279,7 @@
         except (ConnectionError, ValueError, asyncio.CancelledError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     async def _handle(self, asked: Asked, writer: asyncio.StreamWriter) -> None:
@@ -311,6 +325,8 @@
             self.listener.close()
         for task in list(self.tasks):
             task.cancel()
+        for writer in list(self.writers):
+            writer.transport.abort()
 
 
 async def _until_end(reader: asyncio.StreamReader, task: asyncio.Task[None]) -> None:
