--- a/review/lib/mesh.py
+++ b/review/lib/mesh.py
@@ -110,9 +110,13 @@
         self.process: asyncio.subprocess.Process | None = None
         self.starts = 0
 
+    def write_settings(self) -> None:
+        """Write its settings file as it is to be now."""
+        self.boot.write_text(SETTINGS.format(**self.settings))
+
     async def start(self) -> None:
         """Start it, with the command of the deploy file."""
-        self.boot.write_text(SETTINGS.format(**self.settings))
+        self.write_settings()
         self.settings["init"] = "false"
         command = tomllib.loads((ROOT / "deploy/system.toml").read_text())["roles"][self.role]["run"].split()
         environ = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
