--- a/review/3/play.py
+++ b/review/3/play.py
@@ -1,11 +1,11 @@
-"""Clients give up and close their connections; their requests reach a server later all the same."""
+"""A server leaves, its sidecar is killed and restarted, and a heartbeat from before comes late."""
 
 from __future__ import annotations
 
 import asyncio
-import contextlib
+import os
 import sys
-from collections.abc import Callable
+from collections import Counter
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).parents[1] / "lib"))
@@ -13,24 +13,26 @@
 from mesh import (
     BROKEN,
     HELD,
+    Answer,
     Asked,
     Mesh,
-    Process,
     Record,
     Server,
     UnableError,
     configuration,
-    encode,
     main,
     route,
 )
 
-SLOTS, WORK_S = 2, 0.4  # of a server; that a run takes
-AIM_S, TIMEOUT_S = 3.2, 8.5  # GoalS and TmoS of the route, as of the uploads of safar-mesh-large
-BURSTS, CLIENTS = 3, 24  # bursts; clients of one burst, half of which give up
-GIVE_UP_S = 0.25  # after which they do
-LATE_S, A_FEW = 0.5, 5  # of the rule: so long after the close; more requests than this are "more than a few"
+DRAIN_S, CONTACT_S = 2.0, 3.0  # Terms.Bnd
+KILL_AFTER_S, RESTART_S = 0.3, 0.5  # after the acknowledgement; from the end of the process to its next start
+LATE_S = 3.0  # how late the heartbeat comes, after the acknowledgement
+SERVES_ON_S = 12.0  # from the acknowledgement to the end of the server
+GAP_S, DEADLINE_S, WORK_S = 0.025, 2.0, 0.3  # between two requests; of a request; that a run takes
 CLIENTS_AT = (2, 3)  # sidecars that the clients are at
+# Both disruptions, or one of them alone: to see what it takes.
+WITH_KILL = os.environ.get("KILL", "1") != "0"
+WITH_LATE = os.environ.get("LATE", "1") != "0"
 
 
 async def work(_server: Server, asked: Asked) -> tuple[int, bytes]:
@@ -39,72 +41,94 @@
     return 200, asked.fields["x-request-id"].encode()
 
 
-async def give_up(mesh: Mesh, sidecar: Process, ident: str, left: Callable[[str], None]) -> None:
-    """Send a request on a new connection, wait for a while, and close the connection."""
-    _reader, writer = await asyncio.open_connection(sidecar.ip, mesh.ports["out"])
-    fields = {"Host": "app.example", "X-Request-Id": ident, "X-Deadline-Ms": str(int(TIMEOUT_S * 1000))}
-    mesh.record.note(f"sent   {ident} at {sidecar.name}")
-    writer.write(encode("POST", "/sale/", fields, b"1"))
-    await asyncio.sleep(GIVE_UP_S)
-    writer.close()
-    with contextlib.suppress(ConnectionError):
-        await writer.wait_closed()
-    mesh.record.note(f"left   {ident} at {sidecar.name}: the client has closed its connection")
-    left(ident)
+class Clients:
+    """Send sales, at most once each, at two sidecars that nothing happens to."""
+
+    def __init__(self, mesh: Mesh) -> None:
+        self.mesh = mesh
+        self.ends: dict[str, Answer | None] = {}
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    async def run(self) -> None:
+        """Until cancelled."""
+        loop, number = asyncio.get_running_loop(), 0
+        while True:
+            number += 1
+            task = loop.create_task(self._one(f"s{number}", CLIENTS_AT[number % len(CLIENTS_AT)]))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+            await asyncio.sleep(GAP_S)
+
+    async def _one(self, ident: str, at: int) -> None:
+        fields = {"X-Request-Id": ident}
+        self.ends[ident] = await self.mesh.request(
+            self.mesh.sidecars[at], "POST", "/sale/", fields, b"1", DEADLINE_S
+        )
+
+
+async def leave(mesh: Mesh, leaving: Server, *, trouble: bool) -> tuple[float, float]:
+    """The server goes; when that was acknowledged, and from when on its sidecar is in touch again."""
+    loop, record, sidecar = asyncio.get_running_loop(), mesh.record, mesh.sidecars[0]
+    late = leaving.beat()  # made before the server says that it goes
+    if not await leaving.deregister():
+        raise UnableError("the server's Deregister was not acknowledged")
+    acknowledged = in_touch = loop.time()
+    record.say(f"{leaving.life} says that it is gone: acknowledged by {sidecar.name}")
+    if trouble and WITH_KILL:
+        await asyncio.sleep(KILL_AFTER_S)
+        await sidecar.kill()
+        await asyncio.sleep(RESTART_S)
+        await sidecar.start()
+        in_touch = loop.time() + CONTACT_S
+        record.say(f"{sidecar.name} was killed, and is started again")
+        await mesh.until(lambda: mesh.ready(sidecar), f"{sidecar.name} ready")
+    await asyncio.sleep(max(acknowledged + LATE_S - loop.time(), 0.0))
+    if trouble and WITH_LATE:
+        taken = await leaving.deliver(late)
+        record.say(f"a heartbeat from before comes {LATE_S:.0f} s late: {'200' if taken else 'not taken'}")
+    return acknowledged, in_touch
 
 
 async def play(record: Record, trouble: bool) -> int:
     """The case."""
-    mesh = Mesh(record, ["desk", "desk", "board", "board"], slots=SLOTS)
+    mesh = Mesh(record, ["desk", "desk", "board", "board"])
     loop = asyncio.get_running_loop()
-    left: dict[str, float] = {}
-    late: list[float] = []
-
-    def on_run(_server: Server, asked: Asked) -> None:
-        ident = asked.fields["x-request-id"]
-        if ident in left and loop.time() - left[ident] > LATE_S:
-            late.append(loop.time() - left[ident])
-            record.note(f"LATE   {ident} reaches a server {late[-1]:.2f} s after its client's close")
-
-    async def one(burst: int, client: int) -> int:
-        ident, sidecar = f"b{burst}-{client}", mesh.sidecars[CLIENTS_AT[client // 2 % 2]]
-        if trouble and client % 2:
-            await give_up(mesh, sidecar, ident, lambda name: left.update({name: loop.time()}))
-            return 0
-        answer = await mesh.request(sidecar, "POST", "/sale/", {"X-Request-Id": ident}, b"1", TIMEOUT_S)
-        return answer.status if answer is not None else 0
-
-    mesh.on_run = on_run
+    leaving = mesh.servers[0]
+    reached: list[tuple[float, str]] = []  # requests that the leaving server ran, and when they came
+    mesh.on_run = lambda server, asked: (
+        reached.append((loop.time(), asked.fields["x-request-id"])) if server is leaving else None
+    )
+    clients, load = Clients(mesh), None
     for server in mesh.servers[:2]:
         server.work = work
     try:
         routes = [
-            route("sale", "/sale/", "mutating", "desk", GoalS=AIM_S, TmoS=TIMEOUT_S),
+            route("sale", "/sale/", "mutating", "desk"),
             route("board", "/board/", "idempotent", "board"),
         ]
         await mesh.start(configuration(["desk", "board"], routes))
-        for number in range(16):  # the sidecars learn how long a run takes
-            answer = await mesh.request(
-                mesh.sidecars[CLIENTS_AT[number % 2]],
-                "POST",
-                "/sale/",
-                {"X-Request-Id": f"w{number}"},
-                b"1",
-                3.0,
-            )
-            if answer is None or answer.status != 200:  # noqa: PLR2004
-                raise UnableError("a first request was not served")
-        for burst in range(1, BURSTS + 1):
-            statuses = await asyncio.gather(*(one(burst, client) for client in range(CLIENTS)))
-            await asyncio.sleep(AIM_S + 1.0)
-            record.say(f"burst {burst}: {statuses.count(200)} served, {len(late)} late arrivals so far")
-        broken = len(late) > A_FEW
+        load = loop.create_task(clients.run())
+        await asyncio.sleep(2.0)
+        if not reached:
+            raise UnableError("the server got no request before it left")
+        acknowledged, in_touch = await leave(mesh, leaving, trouble=trouble)
+        await asyncio.sleep(max(acknowledged + SERVES_ON_S - loop.time(), 0.0))
+        running = leaving.running
+        await leaving.stop()
+        record.say(f"{leaving.life} ends, {SERVES_ON_S:.0f} s after the acknowledgement")
+        await asyncio.sleep(DEADLINE_S + 0.5)
+        after = [ident for at, ident in reached if at > acknowledged + DRAIN_S]
+        counted = [ident for at, ident in reached if at > max(acknowledged + DRAIN_S, in_touch)]
+        told = Counter(str(end.status) if (end := clients.ends.get(ident)) else "none" for ident in after)
         record.say(
-            f"GONE {'broken' if broken else 'held'}: {len(left)} clients had left; requests of {len(late)} "
-            f"reached a server over {LATE_S} s later, {max(late, default=0.0):.1f} s at most"
+            f"{len(after)} requests reached it over DrainS after the acknowledgement: told {dict(told)}"
         )
-        return BROKEN if broken else HELD
+        record.say(f"{running} of them were at work when it ended")
+        record.say(f"DRAIN {'broken' if counted else 'held'}: {len(counted)} with all machines in touch")
+        return BROKEN if counted else HELD
     finally:
+        if load is not None:
+            load.cancel()
         await mesh.end()
 
 
--- a/review/lib/mesh.py
+++ b/review/lib/mesh.py
@@ -92,6 +92,8 @@
 
     def note(self, text: str) -> None:
         """One line, with the seconds since the start."""
+        if self.file.closed:  # by a task that ends after the case
+            return
         self.file.write(f"{asyncio.get_running_loop().time() - self.began:8.3f} {text}\n")
 
     def say(self, text: str) -> None:
@@ -215,6 +217,7 @@
         self.seq, self.running, self.runs, self.queue = 0, 0, 0, 4 * slots
         self.free = asyncio.Semaphore(slots)
         self.state = "up"
+        self.drops = True  # a request whose connection closes, as most servers do
         self.listener: asyncio.Server | None = None
         self.tasks: set[asyncio.Task[Any]] = set()
         self.beating: asyncio.Task[Any] | None = None
@@ -276,12 +279,14 @@
                 task = self._spawn(self._handle(asked, writer))
                 gone = self._spawn(_until_end(reader, task))
                 await asyncio.wait((task, gone), return_when=asyncio.FIRST_COMPLETED)
-                if not task.done():  # most servers drop a request whose connection closes
-                    task.cancel()
+                if not task.done():  # the connection has closed
+                    if self.drops:
+                        task.cancel()
                     return
                 gone.cancel()
         except (ConnectionError, ValueError, asyncio.CancelledError):
-            pass
+            if task is not None and self.drops:
+                task.cancel()
         finally:
             self.writers.discard(writer)
             writer.close()
