--- a/review/lib/mesh.py
+++ b/review/lib/mesh.py
@@ -158,6 +158,14 @@
             return 0.0
         return pages * os.sysconf("SC_PAGE_SIZE") / 1048576
 
+    def read_mb(self) -> float:
+        """What it has read from its connections and files so far, in MB."""
+        try:
+            text = Path(f"/proc/{self.pid}/io").read_text()
+        except OSError:
+            return 0.0
+        return int(text.partition("rchar: ")[2].split()[0]) / 1048576
+
     def log_tail(self, lines: int = 5) -> str:
         """The end of its log."""
         return "\n".join(self.log.read_text(errors="replace").splitlines()[-lines:])
