--- a/minthitch/mesh/events/events.py
+++ b/minthitch/mesh/events/events.py
@@ -27,7 +27,7 @@
     CONTROL_UP = 201, logging.INFO, "connected to control node {ip}"
     CONTROL_DOWN = 202, logging.WARNING, "connection to control node {ip} lost"
     CONFIG = 203, logging.INFO, "configuration {index} active, {routes} routes"
-    SERVER = 204, logging.INFO, "server {server_id} of {service}: {state}"
+    SERVER = 204, logging.INFO, "server {server_id} of {service}: {state} (heartbeat {sequence})"
     READY = 205, logging.INFO, "ready"
     NO_CONTROL = 206, logging.WARNING, "no control node reachable: serving with the last known configuration"
     PEER_DOWN = 207, logging.WARNING, "connection to {ip} lost, {open} requests in flight"
