A `draining` that arrives after a later heartbeat closes the gate

Callers would see: requests reach a server whose `draining` was acknowledged, if that call was overtaken by a heartbeat with a higher Seq.

Cause: `Admission.on_heartbeat` dropped every heartbeat with a lower Seq, and the handler acknowledged what was dropped.

Change: Seq decides among `up` only; no run is up again after `draining`. A new run starts with no Seq heard.

--- a/minthitch/mesh/sidecar/admission.py
+++ b/minthitch/mesh/sidecar/admission.py
@@ -96,9 +96,9 @@
             return  # a late heartbeat of a server run that has ended must not open the gate for it again
         if server_id != self.server_id:
             self._on_new_server(server_id, heartbeat)
-        elif heartbeat.stat.seq <= self.seq:
-            return  # a late heartbeat
-        self.seq = heartbeat.stat.seq
+        elif heartbeat.stat.seq <= self.seq and heartbeat.stat.state == "up":
+            return  # a late heartbeat; a late `draining` counts, because no run is up again after it
+        self.seq = max(heartbeat.stat.seq, self.seq)
         if heartbeat.summary.cap != self.slots:
             self.slots = self.gate.slots = heartbeat.summary.cap
         if heartbeat.stat.state != self.state:
@@ -111,7 +111,7 @@
         self.upstream.is_usable = False  # idle connections belong to the earlier server run
         self.server_pool.hang_up(self.upstream)  # type: ignore[arg-type]
         self.upstream = Upstream(self.address)
-        self.server_id, self.state = server_id, "none"
+        self.server_id, self.state, self.seq = server_id, "none", -1
         mean, means = self.gate.mean, self.gate.means
         self.gate = Gate(heartbeat.summary.cap)
         self.gate.mean, self.gate.means = mean, means
--- a/tests/mesh/test_admission.py
+++ b/tests/mesh/test_admission.py
@@ -81,6 +81,13 @@
         self.admission.on_heartbeat("one", heartbeat("up", 4))
         self.assertEqual(self.admission.server_fields()[2], "draining")
 
+    async def test_a_late_draining_of_this_server_run_closes_the_gate(self) -> None:
+        # Guards against: it was acknowledged as late, and calls went on.
+        self.admission.on_heartbeat("one", heartbeat("up", 5))
+        self.admission.on_heartbeat("one", heartbeat("draining", 4))
+        self.call(1)
+        self.assertEqual(self.kinds(), [(ops.REJECTED, 1)])
+
     async def test_queued_calls_are_rejected_when_the_server_drains_and_running_ones_go_on(self) -> None:
         self.call(1)
         self.call(2)
