--- a/minthitch/mesh/sidecar/attempt_dispatcher.py
+++ b/minthitch/mesh/sidecar/attempt_dispatcher.py
@@ -7,9 +7,9 @@
 
 from minthitch.mesh.events.events import Event, log_event
 from minthitch.mesh.sidecar.exchange import Attempt, Exchange
-from minthitch.mesh.sidecar.links import Peer
 from minthitch.mesh.sidecar.load_balancer import Endpoint
 from minthitch.mesh.sidecar.offers import OfferSender
+from minthitch.mesh.sidecar.peer import Peer
 from minthitch.mesh.transport import ops
 
 if TYPE_CHECKING:
--- a/minthitch/mesh/sidecar/exchange.py
+++ b/minthitch/mesh/sidecar/exchange.py
@@ -21,7 +21,7 @@
 if TYPE_CHECKING:
     from minthitch.mesh.configuration.routes import Route
     from minthitch.mesh.http.listener import ClientConnection
-    from minthitch.mesh.sidecar.links import Peer
+    from minthitch.mesh.sidecar.peer import Peer
     from minthitch.mesh.sidecar.sidecar import Sidecar
     from minthitch.net.callers import Incoming
 
--- a/minthitch/mesh/sidecar/keys.py
+++ b/minthitch/mesh/sidecar/keys.py
@@ -14,7 +14,7 @@
 
 from minthitch.mesh.configuration.errors import ErrorKind
 from minthitch.mesh.idempotency.operations import Operation, OperationState, OperationTable
-from minthitch.mesh.sidecar.links import GRANTED, HELD, ControlLinks
+from minthitch.mesh.sidecar.control_links import GRANTED, HELD, ControlLinks
 from minthitch.mesh.transport import ops
 
 RETENTION_WINDOWS = 2.2  # key windows for which an operation is kept: longer than any repeat can come
--- a/minthitch/mesh/sidecar/peer_queries.py
+++ b/minthitch/mesh/sidecar/peer_queries.py
@@ -6,7 +6,8 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from minthitch.mesh.sidecar.links import NO_LEADER, Peer
+from minthitch.mesh.sidecar.control_links import NO_LEADER
+from minthitch.mesh.sidecar.peer import Peer
 from minthitch.mesh.transport import ops
 from minthitch.mesh.transport.connection import Connection
 
--- a/minthitch/mesh/sidecar/run_registration.py
+++ b/minthitch/mesh/sidecar/run_registration.py
@@ -12,7 +12,7 @@
 from typing import Protocol
 
 from minthitch.mesh.idempotency.server_runs import RunRecord, RunState, run_key
-from minthitch.mesh.sidecar.links import GRANTED, HELD, OnClaimed
+from minthitch.mesh.sidecar.control_links import GRANTED, HELD, OnClaimed
 
 CLAIM_ID_BYTES = 12
 ATTEMPT_S = 2.0  # for which one command is repeated before its id is given up
--- a/minthitch/mesh/sidecar/sidecar.py
+++ b/minthitch/mesh/sidecar/sidecar.py
@@ -19,9 +19,9 @@
 from minthitch.mesh.limits.nested import NestedCallDetector
 from minthitch.mesh.sidecar.admission import Admission
 from minthitch.mesh.sidecar.attempt_dispatcher import AttemptDispatcher
+from minthitch.mesh.sidecar.control_links import ControlLinks
 from minthitch.mesh.sidecar.exchange import Exchange
 from minthitch.mesh.sidecar.keys import IdempotencyKeys, digest_request, hashed
-from minthitch.mesh.sidecar.links import ControlLinks
 from minthitch.mesh.sidecar.load_balancer import LoadBalancer
 from minthitch.mesh.sidecar.offers import OfferReceiver
 from minthitch.mesh.sidecar.peer_queries import PeerQueries, send_if_connected
--- a/rigs/simulation/mesh.py
+++ b/rigs/simulation/mesh.py
@@ -21,7 +21,7 @@
 from minthitch.mesh.control.server import ControlServer
 from minthitch.mesh.control.state_machine import StateMachine
 from minthitch.mesh.idempotency.server_runs import SERVER_KEY_PREFIX
-from minthitch.mesh.sidecar.links import OnClaimed
+from minthitch.mesh.sidecar.control_links import OnClaimed
 from minthitch.mesh.sidecar.shutdown_schedule import ShutdownSchedule
 from minthitch.mesh.sidecar.sidecar import Sidecar
 from minthitch.mesh.storage.store import Store
--- a/rigs/simulation/planted_drawn.py
+++ b/rigs/simulation/planted_drawn.py
@@ -18,8 +18,8 @@
 from minthitch.mesh.raft.messages import Message, RequestVote
 from minthitch.mesh.raft.node import RaftNode
 from minthitch.mesh.sidecar.admission import Admission
+from minthitch.mesh.sidecar.control_links import GRANTED, ControlLinks
 from minthitch.mesh.sidecar.keys import IdempotencyKeys
-from minthitch.mesh.sidecar.links import GRANTED, ControlLinks
 from minthitch.mesh.transport import ops
 from rigs.simulation import mesh
 from rigs.simulation.disk import SimStore, SimWriter
--- a/rigs/simulation/size.py
+++ b/rigs/simulation/size.py
@@ -21,7 +21,8 @@
 from minthitch.mesh.control.server import ControlServer
 from minthitch.mesh.registry.merged_views import MergedViews
 from minthitch.mesh.registry.registry import RegistryDelta
-from minthitch.mesh.sidecar.links import ControlLinks, Peer
+from minthitch.mesh.sidecar.control_links import ControlLinks
+from minthitch.mesh.sidecar.peer import Peer
 from minthitch.mesh.transport import ops
 from minthitch.mesh.transport.connection import Connection
 from minthitch.mesh.transport.framing import MAX_FRAME_PAYLOAD
--- a/tests/mesh/test_delivery_links.py
+++ b/tests/mesh/test_delivery_links.py
@@ -22,11 +22,11 @@
 from typing import Any
 from unittest import mock
 
-from minthitch.mesh.sidecar import links, offers
+from minthitch.mesh.sidecar import control_links, offers
 from minthitch.mesh.sidecar.attempt_dispatcher import AttemptDispatcher
 from minthitch.mesh.sidecar.exchange import Attempt
-from minthitch.mesh.sidecar.links import Peer
 from minthitch.mesh.sidecar.offers import OfferSender
+from minthitch.mesh.sidecar.peer import Peer
 from minthitch.mesh.sidecar.peer_queries import send_if_connected
 from minthitch.mesh.transport import connection as connection_module
 from minthitch.mesh.transport import ops
@@ -404,13 +404,13 @@
     def test_a_grant_of_another_claim_grants_nothing(self) -> None:
         host, told = mock.Mock(), list[tuple[Any, ...]]()
         with mock.patch("asyncio.get_running_loop", lambda: self.walk.loop):
-            controls = links.ControlLinks(host, PORT, "name")
+            controls = control_links.ControlLinks(host, PORT, "name")
         host.relay_claim.return_value = True
         controls.claim((b"key", "name", b"mine", b"digest", b""), 9.0, lambda *row: told.append(row))
-        controls.on_claimed((ops.CLAIM_RESULT, 1, links.GRANTED, "other", b"another's", b"digest"))
+        controls.on_claimed((ops.CLAIM_RESULT, 1, control_links.GRANTED, "other", b"another's", b"digest"))
         self.assertEqual(told, [])
-        controls.on_claimed((ops.CLAIM_RESULT, 1, links.GRANTED, "name", b"mine", b"digest"))
-        self.assertEqual([row[0] for row in told], [links.GRANTED])
+        controls.on_claimed((ops.CLAIM_RESULT, 1, control_links.GRANTED, "name", b"mine", b"digest"))
+        self.assertEqual([row[0] for row in told], [control_links.GRANTED])
         controls.close()
 
 
--- a/tests/mesh/test_size.py
+++ b/tests/mesh/test_size.py
@@ -13,14 +13,9 @@
 from minthitch.mesh.registry.merged_views import MergedViews
 from minthitch.mesh.registry.records import SidecarRecord, is_newer, published_fields
 from minthitch.mesh.registry.registry import EXPIRY_S, Registry, RegistryDelta
-from minthitch.mesh.sidecar import links
-from minthitch.mesh.sidecar.links import (
-    HOLD_S,
-    PROBE_AFTER_ONCE_S,
-    PROBE_TIMEOUT_S,
-    Peer,
-    _significant_fields,
-)
+from minthitch.mesh.sidecar import control_links
+from minthitch.mesh.sidecar.control_links import _significant_fields
+from minthitch.mesh.sidecar.peer import HOLD_S, PROBE_AFTER_ONCE_S, PROBE_TIMEOUT_S, Peer
 from minthitch.mesh.transport import compression, ops
 from minthitch.mesh.transport.connection import PEER_TIMEOUT_S
 from minthitch.mesh.transport.framing import MAX_FRAME_PAYLOAD, ProtocolError
@@ -147,7 +142,7 @@
 
     def test_a_quiet_sidecar_stays_listed_and_a_dead_one_is_removed(self) -> None:
         crowd = self.crowd()
-        with mock.patch.object(links, "MAX_REPORT_INTERVAL_S", 1e9):
+        with mock.patch.object(control_links, "MAX_REPORT_INTERVAL_S", 1e9):
             crowd.loop.run_until(crowd.loop.now + 2 * EXPIRY_S)
             self.assertEqual(self.listed(crowd), {COUNT})
             crowd.reporters[-1].stop(power=True)
