--- a/bench/mesh.py
+++ b/bench/mesh.py
@@ -1,7 +1,8 @@
 """The mesh in virtual time: `python -m bench.mesh [--quick]`.
 
-Plays days with faults and days of planned work, drawn from seeds, on the real control nodes and sidecars,
-judges each history, and looks for the faults planted in `rigs.simulation.planted`: each must be found.
+Plays days with faults, days of planned work and days on which servers leave, drawn from seeds, on the real
+control nodes and sidecars, judges each history, and looks for the faults planted in
+`rigs.simulation.planted`: each must be found.
 """
 
 from __future__ import annotations
@@ -15,8 +16,10 @@
 from typing import Any, NamedTuple
 
 from rigs.simulation.checks import delays
+from rigs.simulation.departures import play_departures
 from rigs.simulation.planned_work import play_planned_work
 from rigs.simulation.planted import planted
+from rigs.simulation.planted_departures import AROUND_DEPARTURES
 from rigs.simulation.planted_drawn import PLANTED
 from rigs.simulation.planted_shutdowns import IN_PLANNED_WORK
 from rigs.simulation.play import Day, Played, play, shrink
@@ -24,7 +27,7 @@
 from rigs.simulation.storms import STORM, schedule, storm
 
 DAYS, QUICK_DAYS = 1_000, 60
-PLANNED_PART = 4  # one day of planned work for so many with faults
+PLANNED_PART = 4  # one day of planned work, and one of departures, for so many with faults
 MOST = 200  # schedules within which a planted fault must be found
 FIRST, PLANT = 1, 100_000  # seeds
 UNSURE = "SYNC"  # not by this is a planted fault found: it tells that something is late, not what is broken
@@ -93,7 +96,11 @@
 
 
 def _with_fault(name: str, seed: int) -> Played:
-    return play_planned_work(seed) if name in IN_PLANNED_WORK else play(seed, AIMED.get(name))
+    if name in IN_PLANNED_WORK:
+        return play_planned_work(seed)
+    if name in AROUND_DEPARTURES:
+        return play_departures(seed)
+    return play(seed, AIMED.get(name))
 
 
 def planned(seed: int) -> tuple[int, list[str]]:
@@ -101,6 +108,11 @@
     return seed, play_planned_work(seed).broken
 
 
+def departures(seed: int) -> tuple[int, list[str]]:
+    """(seed, what a day of departures broke)."""
+    return seed, play_departures(seed).broken
+
+
 def _summed(counters: Iterable[Counter[Any]]) -> Counter[Any]:
     total: Counter[Any] = Counter()
     for counter in counters:
@@ -142,9 +154,11 @@
     days = QUICK_DAYS if parser.parse_args().quick else DAYS
     short: list[str] = []
     with ProcessPoolExecutor(WORKERS) as pool:
-        hunts = [pool.submit(hunt, name) for name in PLANTED | IN_PLANNED_WORK]
+        hunts = [pool.submit(hunt, name) for name in PLANTED | IN_PLANNED_WORK | AROUND_DEPARTURES]
         rows = list(pool.map(one, range(FIRST, FIRST + days), chunksize=4))
-        work = list(pool.map(planned, range(FIRST, FIRST + days // PLANNED_PART), chunksize=4))
+        seeds = range(FIRST, FIRST + days // PLANNED_PART)
+        work = list(pool.map(planned, seeds, chunksize=4))
+        left = list(pool.map(departures, seeds, chunksize=4))
         found = [task.result() for task in hunts]
     _tell_faults(rows)
     _tell_figures(rows)
@@ -154,10 +168,9 @@
         print(f"  seed {row.seed}: {row.broken[0]}")
         print(f"    cut down: {_cut_down(row.seed)}")
         short.append(f"seed {row.seed}: {row.broken[0]}")
-    print(f"{len(work):7d}  days of planned work, {sum(bool(broken) for _, broken in work)} broken")
-    for seed, broken in work:
-        if broken:
-            short.append(f"planned work, seed {seed}: {broken[0]}")
+    for what, played in (("planned work", work), ("departures", left)):
+        print(f"{len(played):7d}  days of {what}, {sum(bool(broken) for _, broken in played)} broken")
+        short += [f"{what}, seed {seed}: {broken[0]}" for seed, broken in played if broken]
     for name, number, what in found:
         print(f"{number:7d}  schedules to find: {name} ({what[:60]})")
         if not number:
