--- a/rigs/mesh_demo/departure_soak.py
+++ b/rigs/mesh_demo/departure_soak.py
@@ -11,7 +11,6 @@
 
 import asyncio
 import itertools
-import json
 import random
 import signal
 import sys
@@ -57,17 +56,6 @@
             self.late_arrivals.append(since)
         return await super().handle(asked)
 
-    def heartbeat(self, state: str) -> bytes:
-        """The body of a heartbeat, which may be delivered later."""
-        self.seq += 1
-        return json.dumps(
-            {
-                "Addr": f"{self.ip}:{self.port}",
-                "Summary": {"Svc": self.service, "Ver": "soak", "Az": self.zone, "Cap": self.slots},
-                "Stat": {"State": state, "Seq": self.seq, "ColdS": 0.0},
-            }
-        ).encode()
-
     async def deliver(self, body: bytes, lateness_s: float = 0.0) -> bool:
         """Send a heartbeat; whether it was acknowledged."""
         await asyncio.sleep(lateness_s)
@@ -78,7 +66,7 @@
         loop = asyncio.get_running_loop()
         for _ in range(TRIES):
             if drains:
-                taken = await self.deliver(self.heartbeat("draining"))
+                taken = await self.tell("draining")
             else:
                 taken = await self._call(f"/Instances.Deregister/{self.life}", b"{}")
             if taken:
--- a/rigs/mesh_demo/servers.py
+++ b/rigs/mesh_demo/servers.py
@@ -120,7 +120,7 @@
         self.out.close()
         self.ctl.close()
 
-    # Its beats ------------------------------------------------------------------------------------
+    # Its heartbeats ------------------------------------------------------------------------------------
 
     async def _beat(self) -> None:
         while True:
@@ -128,7 +128,11 @@
             await asyncio.sleep(BEAT * self.random.uniform(0.9, 1.1))
 
     async def tell(self, state: str) -> bool:
-        """One beat. Gives whether it was acknowledged."""
+        """One heartbeat. Gives whether it was acknowledged."""
+        return await self._call(f"/Instances.Heartbeat/{self.life}", self.heartbeat(state))
+
+    def heartbeat(self, state: str) -> bytes:
+        """The body of the next heartbeat."""
         self.seq += 1
         cold = max(self.warm_at - asyncio.get_running_loop().time(), 0.0)
         body = {
@@ -136,7 +140,7 @@
             "Summary": {"Svc": self.service, "Ver": "demo", "Az": self.zone, "Cap": self.slots},
             "Stat": {"State": state, "Seq": self.seq, "ColdS": cold},
         }
-        return await self._call(f"/Instances.Heartbeat/{self.life}", json.dumps(body).encode())
+        return json.dumps(body).encode()
 
     async def _call(self, path: str, body: bytes) -> bool:
         fields = {"Host": "ctl", "Content-Type": "application/json"}
