--- a/rigs/mesh_demo/departure_soak.py
+++ b/rigs/mesh_demo/departure_soak.py
@@ -11,6 +11,7 @@
 
 import asyncio
 import itertools
+import os
 import random
 import signal
 import sys
@@ -45,6 +46,7 @@
 
     def __init__(self, service: str, machine: Machine) -> None:
         super().__init__(service, next(_numbers), machine.zone, machine.ip, PORTS, SLOTS)
+        self.life += f"-{os.urandom(4).hex()}"  # no run of a server has the id of another
         self.machine = machine
         self.late_arrivals: list[float] = []  # seconds after the acknowledgement
 
@@ -97,6 +99,7 @@
         self.load = load.Load(self.doors, seed=seed)
         self.tasks: set[asyncio.Task[object]] = set()
         self.faults = 0
+        self.starting: set[Machine] = set()  # machines whose process is being started
 
     async def play(self) -> None:
         """Start, disturb for SECONDS, and let all departures come to their end."""
@@ -186,8 +189,11 @@
             return
         await process.wait()
         await asyncio.sleep(self.random.uniform(*AWAY_S))
-        if node.process is process:  # else the other series has started it
+        # Both series may wait for its end; two processes would hold one address.
+        if node.process is process and node not in self.starting:
+            self.starting.add(node)
             await node.start()
+            self.starting.discard(node)
 
     async def _suspend(self, node: Machine) -> None:
         _signal(node, signal.SIGSTOP)
