A log line that can't be written no longer keeps a server's gate open

Cause: `log_event` lets BrokenPipeError out where the reader of standard error is gone, and `Admission._set_state` logged before it set the state. A Deregister then counted the run as past and left its gate open; a `draining` of that id was ignored as late, recorded and acknowledged.

Evidence: that order of calls on with a closed standard error gives `acknowledged [True] gate desk-4 up`; now the gate is `none`. Ruled out: a second process at the address (the ports were held throughout).

Change: the handler drops such a line and counts it (`lost_log_lines` in Mesh.Status); the state is set before it is logged.

Measured: test_a_log_that_cannot_be_written_keeps_no_gate_open and test_a_line_that_cannot_be_written_is_dropped_and_counted failed before.

--- a/minthitch/mesh/control/status.py
+++ b/minthitch/mesh/control/status.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING, Any
 
+from minthitch.mesh.events.events import lost_line_count
 from minthitch.mesh.idempotency.claims import MAX_CLAIMS
 from minthitch.mesh.registry.records import SidecarRecord
 
@@ -27,6 +28,7 @@
         "keys": _keys(server),
         "slack": server.leases.granter.status(),
         "waiting": server.proposals.count(),
+        "lost_log_lines": lost_line_count(),
         "sidecars": [_sidecar(record) for record in server.registry.records.values()],
     }
 
--- a/minthitch/mesh/events/events.py
+++ b/minthitch/mesh/events/events.py
@@ -65,15 +65,25 @@
 
 
 class _StderrHandler(logging.Handler):
-    """Writes log lines to standard error, limited in lines per second."""
+    """Writes log lines to standard error, limited in lines per second.
+
+    A line that can't be written is dropped: an exception here would end what its caller is in the middle of.
+    """
 
     def __init__(self) -> None:
         super().__init__()
-        self.lines = LineLog(lambda text: print(text, file=sys.stderr, flush=True))
+        self.lines = LineLog(self._write)
+        self.lost_lines = 0
 
     def emit(self, record: logging.LogRecord) -> None:
         self.lines(record.getMessage())
 
+    def _write(self, text: str) -> None:
+        try:
+            print(text, file=sys.stderr, flush=True)
+        except (OSError, ValueError):  # ValueError: standard error is closed
+            self.lost_lines += 1
+
 
 def open_log(level: int = logging.INFO) -> None:
     """Start sending log lines to standard error."""
@@ -83,6 +93,11 @@
         LOG.addHandler(_StderrHandler())
 
 
+def lost_line_count() -> int:
+    """How many log lines of this process could not be written."""
+    return sum(handler.lost_lines for handler in LOG.handlers if isinstance(handler, _StderrHandler))
+
+
 def log_event(event: Event, **values: object) -> None:
     """Log one event; `values` are the fields of its message template."""
     number, level, text = event.value
--- a/minthitch/mesh/sidecar/admission.py
+++ b/minthitch/mesh/sidecar/admission.py
@@ -118,10 +118,10 @@
         self.slow_start_until = self.loop.time() + heartbeat.stat.cold_s
 
     def _set_state(self, state: str) -> None:
+        self.state = state
         log_event(
             Event.SERVER, server_id=self.server_id, service=self.service, state=state, sequence=self.seq
         )
-        self.state = state
         if state != "up":
             self._reject_queued(state)
         self.on_change()
--- a/minthitch/mesh/sidecar/sidecar.py
+++ b/minthitch/mesh/sidecar/sidecar.py
@@ -13,7 +13,7 @@
 from minthitch.mesh.configuration.errors import REPLIES, ErrorKind
 from minthitch.mesh.configuration.routes import RoutingTable
 from minthitch.mesh.configuration.settings import NodeSettings
-from minthitch.mesh.events.events import Event, log_event
+from minthitch.mesh.events.events import Event, log_event, lost_line_count
 from minthitch.mesh.http.listener import ClientConnection
 from minthitch.mesh.http.upstream import ServerPool
 from minthitch.mesh.limits.nested import NestedCallDetector
@@ -291,6 +291,7 @@
             "keys": states,
             "open": len(self.exchanges),
             "nodes": self.sidecar_count,
+            "lost_log_lines": lost_line_count(),
             "nested_routes": [
                 name for name in self.nested_routes.request_counts if self.nested_routes.is_nested(name)
             ],
--- a/tests/mesh/test_admission.py
+++ b/tests/mesh/test_admission.py
@@ -21,6 +21,7 @@
 from minthitch.mesh.transport import ops
 from minthitch.net.callers import Incoming
 from rigs.simulation.loop import Machine, VirtualLoop
+from tests.mesh.test_events import unwritable_log
 
 
 class ServerPool:
@@ -88,6 +89,16 @@
         self.call(1)
         self.assertEqual(self.kinds(), [(ops.REJECTED, 1)])
 
+    async def test_a_log_that_cannot_be_written_keeps_no_gate_open(self) -> None:
+        # Guards against: the log line of a departure failed, and the server went on getting requests.
+        with unwritable_log():
+            self.admission.on_heartbeat("one", heartbeat("draining", 2))
+            self.call(1)
+            self.admission.on_heartbeat("two", heartbeat("up", 1))
+            self.admission.deregister("two")
+            self.call(2, "two")
+        self.assertEqual(self.kinds(), [(ops.REJECTED, 1), (ops.REJECTED, 2)])
+
     async def test_queued_calls_are_rejected_when_the_server_drains_and_running_ones_go_on(self) -> None:
         self.call(1)
         self.call(2)
--- a/tests/mesh/test_events.py
+++ b/tests/mesh/test_events.py
@@ -3,13 +3,18 @@
 from __future__ import annotations
 
 import ast
+import io
 import logging
+import sys
 import unittest
+from collections.abc import Iterator
+from contextlib import contextmanager
 from pathlib import Path
 from string import Formatter
+from unittest import mock
 
 from minthitch.cli.catalogue import FILE, read
-from minthitch.mesh.events.events import Event
+from minthitch.mesh.events.events import LOG, Event, log_event, lost_line_count, open_log
 
 SOURCES = Path(__file__).parents[2] / "minthitch"
 
@@ -31,6 +36,34 @@
         self.assertEqual(len(Event.__members__), len(list(Event)))
 
 
+class ClosedPipe(io.StringIO):
+    """Standard error whose reader is gone."""
+
+    def write(self, text: str) -> int:
+        raise BrokenPipeError
+
+
+@contextmanager
+def unwritable_log() -> Iterator[None]:
+    """Log events go to a standard error whose reader is gone."""
+    with (
+        mock.patch.object(sys, "stderr", ClosedPipe()),
+        mock.patch.object(LOG, "handlers", []),
+        mock.patch.object(LOG, "level", LOG.level),
+        mock.patch.object(LOG, "propagate", False),
+    ):
+        open_log()
+        yield
+
+
+class Unwritable(unittest.TestCase):
+    def test_a_line_that_cannot_be_written_is_dropped_and_counted(self) -> None:
+        with unwritable_log():
+            for _ in range(3):
+                log_event(Event.READY)
+            self.assertEqual(lost_line_count(), 3)
+
+
 class Logged(unittest.TestCase):
     def test_each_event_is_logged_somewhere_with_the_values_that_its_text_names(self) -> None:
         logged: dict[str, set[str]] = {}
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -18,9 +18,7 @@
 .venv/bin/python -m nose2 -s tests/mesh -t . > "$mesh_log" 2>&1 &
 mesh=$!
 code=0
-# Listed in KNOWN-RED.txt, which is printed above: CI passes over exactly this test.
-known_red=tests/test_departure_soak.py::test_no_request_reaches_a_server_after_its_departure_was_acknowledged
-.venv/bin/python -m pytest -q -n 6 --dist loadscope --deselect "$known_red" || code=$?
+.venv/bin/python -m pytest -q -n 6 --dist loadscope || code=$?
 wait "$mesh" || code=$?
 cat "$mesh_log"
 exit "$code"
