The later of two runs of a server is told without the wall clock

What callers would see: after a sidecar's restart with the clock set back, the next run of its server gets no requests, for good.

Cause: a record's order was (epoch of the sidecar, count), and the epoch is the wall clock. A run that is new to a restarted process then counted as earlier than the one that an earlier process had recorded. Ruled out: late heartbeats (the case needs none).

Change: an order is one number, larger than every one that the process knows of (it starts from the epoch and is raised by records that are read); runs are decided one at a time, so two that are heard at once are told apart too. The judgement stands in ServerLifecycle alone; RunRegistry is RunRecorder, as registry is another package. Ids of runs that are over are kept once each.

Drawn histories set clocks back and ask that a new run is admitted in the end.

--- a/minthitch/mesh/idempotency/server_runs.py
+++ b/minthitch/mesh/idempotency/server_runs.py
@@ -34,8 +34,7 @@
     """The record of one run. It is stored in place of a request digest, as a msgpack array."""
 
     state: str  # a RunState
-    epoch: int  # of the sidecar that first recorded the run
-    number: int  # of the run among those that this sidecar recorded first
+    order: int  # of two runs of one server, the later one has the larger order
 
     def pack(self) -> bytes:
         """The record in msgpack."""
@@ -47,8 +46,8 @@
         return cls(*msgpack.unpackb(data, use_list=False))
 
     def is_later_than(self, other: RunRecord) -> bool:
-        """Whether this run was first recorded after the other one."""
-        return (self.epoch, self.number) > (other.epoch, other.number)
+        """Whether this run began after the other one, which is told by the order of their first records."""
+        return self.order > other.order
 
 
 def run_key(server_id: str) -> bytes:
--- a/minthitch/mesh/sidecar/server_lifecycle.py
+++ b/minthitch/mesh/sidecar/server_lifecycle.py
@@ -22,7 +22,7 @@
 ACKNOWLEDGE_WITHIN_S = 0.8  # a server waits a second for its acknowledgement
 LOG_PENDING_AFTER_S = 2.0  # for which a run has waited to be recorded as admitted
 MAX_PENDING_RUNS = 4  # runs that wait to be recorded as admitted
-MAX_LEFT_RUNS = 16  # ids of runs that have left, kept to ignore their late heartbeats
+MAX_LEFT_RUNS = 16  # ids of runs that are over, kept to ignore their late heartbeats without a command
 OnAcknowledged = Callable[[bool], None]  # whether the server's call is acknowledged
 
 
@@ -41,30 +41,31 @@
         """Send nothing more to this run of the server."""
 
 
-class Registry(Protocol):
-    """The replicated record of server runs."""
+class Recorder(Protocol):
+    """Records runs of the server where a restart of this process does not lose them."""
 
-    def admit(
-        self, server_id: str, current: Callable[[], RunRecord | None], done: Callable[[RunRecord], None]
-    ) -> None:
-        """Record that a run is admitted."""
+    def admit(self, server_id: str, done: Callable[[RunRecord], None]) -> None:
+        """Record that a run is admitted, unless it has left; `done` receives the valid record."""
 
     def record_left(self, server_id: str, done: Callable[[RunRecord], None]) -> None:
-        """Record that a run has left."""
+        """Record that a run has left; `done` is called once that is committed."""
 
 
 class ServerLifecycle:
     """Applies the calls of the server beside this sidecar."""
 
-    def __init__(self, admission: ServerAdmission, registry: Registry) -> None:
+    def __init__(self, admission: ServerAdmission, recorder: Recorder) -> None:
         self._loop = asyncio.get_running_loop()
-        self._admission, self._registry = admission, registry
-        self._admitted_id = ""  # the run that is recorded as admitted by this process
-        self._admitted: RunRecord | None = None
-        self._pending: dict[str, Heartbeat] = {}  # newest heartbeat of each run that is not yet admitted
-        # Runs that have left; whether that is committed, and who waits for it.
-        self._left: deque[str] = deque(maxlen=MAX_LEFT_RUNS)
-        self._recorded: deque[str] = deque(maxlen=MAX_LEFT_RUNS)
+        self._admission, self._recorder = admission, recorder
+        self._admitted_id = ""  # the run that this process has admitted last
+        self._admitted: RunRecord | None = None  # and its record
+        # Runs that wait to be admitted, in the order of their first heartbeats, with the newest one of each.
+        # They are decided one at a time, so that each gets a later order than those before it.
+        self._pending: dict[str, Heartbeat] = {}
+        self._deciding = ""  # the run whose record is under way
+        self._left: deque[str] = deque(maxlen=MAX_LEFT_RUNS)  # runs that get no requests any more
+        self._recorded: deque[str] = deque(maxlen=MAX_LEFT_RUNS)  # runs whose departure is committed
+        # Who is told once the departure of a run is committed, by run.
         self._waiting: dict[str, list[Callable[[], None]]] = {}
 
     # Calls of the server ----------------------------------------------------------------------------
@@ -115,45 +116,58 @@
         self._pending[server_id] = heartbeat
         self._admission.suspend()
         self._loop.call_later(LOG_PENDING_AFTER_S, self._log_pending, server_id)
-        self._registry.admit(
-            server_id, lambda: self._admitted, lambda record: self._on_admitted(server_id, record)
-        )
+        self._decide_next()
 
-    def _log_pending(self, server_id: str) -> None:
-        if server_id in self._pending:
-            log_event(Event.SERVER_PENDING, server_id=server_id, after=LOG_PENDING_AFTER_S)
+    def _decide_next(self) -> None:
+        if self._deciding or not self._pending:
+            return
+        server_id = self._deciding = next(iter(self._pending))
+        self._recorder.admit(server_id, lambda record: self._on_decided(server_id, record))
 
-    def _on_admitted(self, server_id: str, record: RunRecord) -> None:
+    def _on_decided(self, server_id: str, record: RunRecord) -> None:
+        self._deciding = ""
         heartbeat = self._pending.pop(server_id, None)
-        if heartbeat is None or server_id in self._left:
-            return  # it has left in the meantime
+        if heartbeat is not None:  # else it has left in the meantime
+            self._apply_decision(server_id, record, heartbeat)
+        self._decide_next()
+
+    def _apply_decision(self, server_id: str, record: RunRecord, heartbeat: Heartbeat) -> None:
         is_earlier = self._admitted is not None and self._admitted.is_later_than(record)
         if record.state == RunState.LEFT or is_earlier:
-            self._left.append(server_id)
+            self._ignore_from_now_on(server_id)
             log_event(Event.LATE_HEARTBEAT, server_id=server_id, sequence=heartbeat.stat.seq)
             return
         if self._admitted_id:
-            self._left.append(self._admitted_id)  # this run has taken its place
+            self._ignore_from_now_on(self._admitted_id)  # this run has taken its place
         self._admitted_id, self._admitted = server_id, record
         if not self._pending:  # else another run may have taken its place: its next heartbeat shows that
             self._admission.on_heartbeat(server_id, heartbeat)
 
+    def _log_pending(self, server_id: str) -> None:
+        if server_id in self._pending:
+            log_event(Event.SERVER_PENDING, server_id=server_id, after=LOG_PENDING_AFTER_S)
+
+    def _ignore_from_now_on(self, server_id: str) -> None:
+        """The run is over: its heartbeats `up` change nothing any more."""
+        if server_id not in self._left:
+            self._left.append(server_id)
+
     # End of a run -----------------------------------------------------------------------------------
 
     def _leave(self, server_id: str, acknowledge: OnAcknowledged) -> None:
-        """The gate is closed; the acknowledgement follows when no other process can open it again."""
+        """Acknowledge a departure once it is committed. The caller has closed the gate already."""
         self._pending.pop(server_id, None)
-        if server_id not in self._left:
-            self._left.append(server_id)
+        self._ignore_from_now_on(server_id)
         if server_id in self._recorded:
             acknowledge(True)
             return
-        is_being_recorded = server_id in self._waiting
-        self._wait(server_id, acknowledge)
-        if not is_being_recorded:
-            self._registry.record_left(server_id, lambda _record: self._on_recorded(server_id))
+        is_under_way = server_id in self._waiting
+        self._acknowledge_once_recorded(server_id, acknowledge)
+        if not is_under_way:
+            self._recorder.record_left(server_id, lambda _record: self._on_recorded(server_id))
 
-    def _wait(self, server_id: str, acknowledge: OnAcknowledged) -> None:
+    def _acknowledge_once_recorded(self, server_id: str, acknowledge: OnAcknowledged) -> None:
+        """Acknowledge when the departure is committed, or refuse while the server still waits."""
         waiting = self._waiting.setdefault(server_id, [])
 
         def on_recorded() -> None:
--- a/minthitch/mesh/sidecar/sidecar.py
+++ b/minthitch/mesh/sidecar/sidecar.py
@@ -26,7 +26,7 @@
 from minthitch.mesh.sidecar.offers import OfferReceiver
 from minthitch.mesh.sidecar.peer_queries import PeerQueries, send_if_connected
 from minthitch.mesh.sidecar.retry_budget import RetryBudget
-from minthitch.mesh.sidecar.run_registration import RunRegistry
+from minthitch.mesh.sidecar.run_recorder import RunRecorder
 from minthitch.mesh.sidecar.server_lifecycle import ServerLifecycle
 from minthitch.mesh.sidecar.shutdown_schedule import ShutdownSchedule
 from minthitch.mesh.transport import ops
@@ -73,8 +73,8 @@
         self.keys = IdempotencyKeys(
             self.controls, settings.terms.bounds.key_win_s, self.name, self.peer_queries.ask_owner
         )
-        self.run_registry = RunRegistry(self.controls, self.name, epoch)
-        self.server_lifecycle = ServerLifecycle(self.admission, self.run_registry)
+        self.run_recorder = RunRecorder(self.controls, self.name, epoch)
+        self.server_lifecycle = ServerLifecycle(self.admission, self.run_recorder)
         self.controls.connect_to(tuple(seed.rpartition(":")[0] for seed in settings.net.seeds))
 
     # Reports to control nodes -----------------------------------------------------------------------
@@ -298,7 +298,7 @@
         }
 
     def close(self) -> None:
-        self.run_registry.close()
+        self.run_recorder.close()
         self.controls.close()
         self.dispatcher.close()
         self.retry_budget.close()
--- a/rigs/simulation/planted_departures.py
+++ b/rigs/simulation/planted_departures.py
@@ -2,41 +2,42 @@
 
 from __future__ import annotations
 
+import itertools
 from collections.abc import Callable
 from typing import Any
 from unittest import mock
 
 from minthitch.mesh.idempotency.server_runs import RunRecord, RunState
-from minthitch.mesh.sidecar.run_registration import RunRegistry
+from minthitch.mesh.sidecar.run_recorder import RunRecorder
 from rigs.simulation.planted_drawn import Patch
 
-_COUNTER = iter(range(1, 1_000_000_000))
+_ORDERS = itertools.count(1)
 
 
-def _admit_unrecorded(registry: RunRegistry, server_id: str, current: Any, done: Any) -> None:
-    registry._loop.call_soon(done, RunRecord(RunState.ADMITTED, registry._epoch, next(_COUNTER)))
+def _admit_unrecorded(recorder: RunRecorder, server_id: str, done: Any) -> None:
+    recorder._loop.call_soon(done, RunRecord(RunState.ADMITTED, next(_ORDERS)))
 
 
-def _acknowledge_unrecorded(registry: RunRegistry, server_id: str, done: Any) -> None:
+def _acknowledge_unrecorded(recorder: RunRecorder, server_id: str, done: Any) -> None:
     """Without a record: it is lost with this process."""
-    registry._loop.call_soon(done, RunRecord(RunState.LEFT, registry._epoch, 0))
+    recorder._loop.call_soon(done, RunRecord(RunState.LEFT, 0))
 
 
-def _acknowledge_first(registry: RunRegistry, server_id: str, done: Any) -> None:
+def _acknowledge_first(recorder: RunRecorder, server_id: str, done: Any) -> None:
     """The record is still under way when the call is answered."""
-    registry._loop.call_soon(done, RunRecord(RunState.LEFT, registry._epoch, 0))
-    _RECORD_LEFT(registry, server_id, lambda record: None)
+    recorder._loop.call_soon(done, RunRecord(RunState.LEFT, 0))
+    _RECORD_LEFT(recorder, server_id, lambda record: None)
 
 
-_RECORD_LEFT = RunRegistry.record_left
+_RECORD_LEFT = RunRecorder.record_left
 
 
 AROUND_DEPARTURES: dict[str, Callable[[], list[Patch]]] = {
     "a departure kept in the memory of its sidecar": lambda: [
-        mock.patch.object(RunRegistry, "admit", _admit_unrecorded),
-        mock.patch.object(RunRegistry, "record_left", _acknowledge_unrecorded),
+        mock.patch.object(RunRecorder, "admit", _admit_unrecorded),
+        mock.patch.object(RunRecorder, "record_left", _acknowledge_unrecorded),
     ],
     "a departure acknowledged before it is committed": lambda: [
-        mock.patch.object(RunRegistry, "record_left", _acknowledge_first)
+        mock.patch.object(RunRecorder, "record_left", _acknowledge_first)
     ],
 }
--- a/tests/mesh/test_control_heartbeats.py
+++ b/tests/mesh/test_control_heartbeats.py
@@ -56,7 +56,7 @@
 
     def record_left(self, server_id: str = SERVER_ID) -> None:
         """The sidecar's record of the departure is committed."""
-        record = RunRecord(RunState.LEFT, 1, 0).pack()
+        record = RunRecord(RunState.LEFT, 1).pack()
         command = ClaimCommand(run_key(server_id), "sidecar/1", b"claim", record, b"")
         self.state.apply(1, pack_command(CLAIM, command.pack()))
 
--- a/tests/mesh/test_pages_beats.py
+++ b/tests/mesh/test_pages_beats.py
@@ -84,19 +84,19 @@
         self.heard.append((server_id, len(self.client.answers)))
 
 
-class FakeRegistry:
+class FakeRecorder:
     """Commits each record at once, or never."""
 
     def __init__(self, commits: bool) -> None:
         self.commits = commits
 
-    def admit(self, server_id: str, current: object, done: Callable[[RunRecord], None]) -> None:
+    def admit(self, server_id: str, done: Callable[[RunRecord], None]) -> None:
         if self.commits:
-            done(RunRecord(RunState.ADMITTED, 1, 1))
+            done(RunRecord(RunState.ADMITTED, 1))
 
     def record_left(self, server_id: str, done: Callable[[RunRecord], None]) -> None:
         if self.commits:
-            done(RunRecord(RunState.LEFT, 1, 1))
+            done(RunRecord(RunState.LEFT, 1))
 
 
 class Answers(unittest.IsolatedAsyncioTestCase):
@@ -105,7 +105,7 @@
     ) -> tuple[list[tuple[int, bytes]], list[tuple[str, int]]]:
         client = Client()
         admission = FakeAdmission(client)
-        lifecycle = ServerLifecycle(admission, FakeRegistry(commits))
+        lifecycle = ServerLifecycle(admission, FakeRecorder(commits))
         admin = AdminHandler(cast(Any, SimpleNamespace(server_lifecycle=lifecycle)))
         admin.log_client_error = lambda text: None  # type: ignore[method-assign]
         item = SimpleNamespace(method=b"POST", target=path, body=sent)
--- a/tests/mesh/test_server_lifecycle.py
+++ b/tests/mesh/test_server_lifecycle.py
@@ -1,4 +1,4 @@
-"""Runs of a server through the real lifecycle, registry and claim table: restarts, late and lost commands."""
+"""Runs of a server through the real lifecycle, recorder and claim table: restarts, late and lost commands."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 from minthitch.mesh.events.events import LOG
 from minthitch.mesh.idempotency import claims as claims_module
 from minthitch.mesh.idempotency.claims import ClaimCommand
-from minthitch.mesh.sidecar.run_registration import RunRegistry
+from minthitch.mesh.sidecar.run_recorder import RunRecorder
 from minthitch.mesh.sidecar.server_lifecycle import ServerLifecycle
 from rigs.simulation.loop import Machine, VirtualLoop
 
@@ -99,8 +99,8 @@
         self.loop.run_until(self.loop.now)
 
     def _begin(self, admission: FakeAdmission) -> None:
-        registry = RunRegistry(ControlLinks(self), f"sidecar/{self.epoch}", self.epoch)
-        self.lifecycle = ServerLifecycle(admission, registry)
+        recorder = RunRecorder(ControlLinks(self), f"sidecar/{self.epoch}", self.epoch)
+        self.lifecycle = ServerLifecycle(admission, recorder)
 
     def restart(self) -> None:
         self.loop.end(self.machine)
@@ -219,6 +219,26 @@
         self.world.up("b", 6)
         self.assert_open_to("b")
 
+    def test_a_run_that_starts_after_the_clock_was_set_back_is_admitted(self) -> None:
+        # Guards against: by the wall clock the live run counted as an earlier one, and stayed out for good.
+        self.world.up("a")
+        self.assert_open_to("a")
+        self.world.epoch -= 10
+        self.world.restart()
+        self.world.up("a", 2)
+        self.assert_open_to("a")
+        self.world.up("b")
+        self.assert_open_to("b")
+
+    def test_runs_heard_at_once_after_the_clock_was_set_back_are_told_apart(self) -> None:
+        self.world.up("a")
+        self.assert_open_to("a")
+        self.world.epoch -= 10
+        self.world.restart()
+        self.world.up("a", 2)
+        self.world.up("b")
+        self.assert_open_to("b")
+
     def test_draining_of_an_earlier_run_does_not_replace_the_present_one(self) -> None:
         self.world.up("b")
         self.assert_open_to("b")
@@ -244,9 +264,11 @@
 
 
 class DrawnHistories(unittest.TestCase):
-    """Any process ends at any step, and any call or command is late, repeated, reordered or lost."""
+    """Any process ends at any step, clocks are set back, and any call or command is late, repeated, reordered
+    or lost. No run gets requests after its departure was acknowledged, and a new run gets them in the end.
+    """
 
-    def test_no_run_is_open_after_its_departure_was_acknowledged(self) -> None:
+    def test_runs_that_have_left_stay_out_and_new_ones_are_admitted(self) -> None:
         with mock.patch.object(LOG, "disabled", True):
             for seed in range(SEEDS):
                 with self.subTest(seed=seed):
@@ -261,6 +283,7 @@
         calls = (world.up, world.up, world.draining, world.deregister)
         for step in range(draw.randrange(6, 30)):
             if draw.random() < 0.25:
+                world.epoch -= draw.choice((0, 0, 3))
                 world.restart()
             elif draw.random() < 0.1:
                 world.has_leader = not world.has_leader
@@ -273,6 +296,11 @@
         world.has_leader, world.loss_rate = True, 0.0
         world.run(SETTLED_S)
         self.assertNotIn(world.admission.open_to, world.acknowledged)
+        world.up("new")
+        world.run()
+        world.up("new", 2)
+        world.run(SETTLED_S)
+        self.assertEqual(world.admission.open_to, "new")
         world.loop.close()
 
 
--- a/tests/mesh/test_start.py
+++ b/tests/mesh/test_start.py
@@ -88,7 +88,7 @@
     "mesh.sidecar.offers",
     "mesh.sidecar.program",
     "mesh.sidecar.retry_budget",
-    "mesh.sidecar.run_registration",
+    "mesh.sidecar.run_recorder",
     "mesh.sidecar.server_lifecycle",
     "mesh.sidecar.shutdown_schedule",
     "mesh.sidecar.exchange",
