--- a/minthitch/mesh/transport/framing.py
+++ b/minthitch/mesh/transport/framing.py
@@ -56,14 +56,18 @@
 
     def next_frame(self) -> bytes | None:
         """The next frame to send, with its header; None if the queue is empty."""
+        lowest = self.queues[-1]
         for queue in self.queues:
             while queue:
                 outgoing = queue.popleft()
-                # One that has begun is sent to its end: the peer holds its first part and waits for the rest.
                 if outgoing.dropped and not outgoing.offset:
                     self.size -= len(outgoing.data)
-                    continue
-                return self._cut_frame(queue, outgoing)
+                elif outgoing.dropped and queue is not lowest:
+                    # One that has begun is sent to its end, because the peer holds its first part. But the
+                    # notice that withdraws it, of the highest priority, must leave before its last frame.
+                    lowest.append(outgoing)
+                else:
+                    return self._cut_frame(queue, outgoing)
         return None
 
     def _cut_frame(self, queue: deque[OutgoingMessage], outgoing: OutgoingMessage) -> bytes:
--- a/tests/mesh/test_delivery_links.py
+++ b/tests/mesh/test_delivery_links.py
@@ -31,6 +31,7 @@
 from minthitch.mesh.transport import connection as connection_module
 from minthitch.mesh.transport import ops
 from minthitch.mesh.transport.connection import MAX_SILENCE_S, Connection
+from minthitch.mesh.transport.framing import MAX_FRAME_PAYLOAD, PRIORITY_LEVELS
 from minthitch.mesh.transport.link import Link
 from rigs.simulation.loop import Machine, VirtualLoop
 from rigs.simulation.network import Network
@@ -44,17 +45,17 @@
 AGE_MOST = MAX_SILENCE_S + 1.0  # seconds after which no call may start to run
 PATIENCE = 4.0  # seconds after which a call that is not sent yet is withdrawn
 LARGE = 2_000_000  # bytes of a call that does not fit into the kernel's buffers
-SIZES = 10, 10, 10, 40_000, 500_000  # bytes of a call's body
+SIZES = 10, 10, 20_000, 40_000, 500_000  # bytes of a call's body
 
 
 class Call:
     """One call; it is sent once more where it is reported as never sent."""
 
-    rank = 1
     route = SimpleNamespace(name="r", latency_target=1.0)
 
     def __init__(self, walk: Walk, number: int, size: int, at_most_once: bool) -> None:
         self.walk, self.at_most_once = walk, at_most_once
+        self.rank = number % PRIORITY_LEVELS
         self.token = b"call %d" % number
         self.body = self.token + b"!" + b"x" * size
         self.begun = 0
@@ -325,20 +326,35 @@
             self.assertGreater(counts[kind], WALKS // 4, kind)
 
 
-def cancelled_in_part(seed: int) -> Call:
-    """A call that is cancelled when a part of it is sent, and the rest waits behind that."""
+def sent_in_part(seed: int, rank: int = 1, size: int = LARGE) -> Call:
+    """A call of which a part is sent, and the rest waits behind that."""
     history = Walk(seed)
-    call = Call(history, 0, LARGE, False)
+    call = Call(history, 0, size, False)
+    call.rank = rank
     with mock.patch.object(offers, "MIN_OFFERED_BYTES", LARGE * 2):
         history._as_caller(history._begin, call, RECEIVERS[0])
         while call.attempt is None or call.attempt.outgoing is None:
             history._run_until(history.loop.now + 0.0001)
-        assert call.attempt.outgoing.offset and not call.attempt.fully_sent, "a part has left"
-        history._as_caller(call.cancel)
-        history._run_until(5.0)
+    assert call.attempt.outgoing.offset and not call.attempt.fully_sent, "a part has left"
     return call
 
 
+def cancelled_in_part(seed: int, rank: int = 1, size: int = LARGE) -> Call:
+    """A call that is cancelled when a part of it is sent."""
+    call = sent_in_part(seed, rank, size)
+    call.walk._as_caller(call.cancel)
+    call.walk._run_until(5.0)
+    return call
+
+
+def size_with_one_frame_left(seed: int) -> int:
+    """Bytes of a call's body of which the connection takes all but the last frame at once."""
+    attempt = sent_in_part(seed).attempt
+    assert attempt is not None and attempt.outgoing is not None
+    overhead = len(attempt.outgoing.data) - LARGE
+    return int(attempt.outgoing.offset) - overhead + MAX_FRAME_PAYLOAD // 2
+
+
 def met_by_a_stop(seed: int) -> Call:
     """A call to a process that has just been stopped and resumes after 20 s."""
     history = Walk(seed)
@@ -365,6 +381,13 @@
             call = cancelled_in_part(seed)
             self.assertEqual((call.end, call.begun), ("never left", 0))
 
+    def test_a_call_that_was_cancelled_before_its_last_frame_never_runs(self) -> None:
+        # Guards against: the last frame of a call of the highest priority went out before its CANCEL.
+        size = size_with_one_frame_left(0)
+        for rank in range(PRIORITY_LEVELS):
+            call = cancelled_in_part(0, rank, size)
+            self.assertEqual((call.end, call.begun), ("never left", 0), f"rank {rank}")
+
     def test_a_call_that_met_a_stop_never_runs(self) -> None:
         """Whether the resumed process handles its timers or the received data first."""
         for seed in range(20):
--- a/tests/mesh/test_parts.py
+++ b/tests/mesh/test_parts.py
@@ -16,6 +16,7 @@
     MAX_FRAME_PAYLOAD,
     MAX_MESSAGE_BYTES,
     MAX_PARTIAL_MESSAGES,
+    PRIORITY_LEVELS,
     Inbox,
     Outbox,
     ProtocolError,
@@ -61,6 +62,19 @@
         self.assertIsNone(outbox.next_frame())
         self.assertEqual(outbox.size, 0)
 
+    def test_a_notice_leaves_before_the_last_frame_of_the_message_of_any_rank_that_it_withdraws(self) -> None:
+        # Guards against: the receiver had the whole call before its CANCEL, and ran what counted as not run.
+        for rank in range(PRIORITY_LEVELS):
+            outbox, inbox = Outbox(), Inbox()
+            withdrawn = outbox.put(b"x" * (MAX_FRAME_PAYLOAD + 1), rank)
+            received = [*inbox.feed(outbox.next_frame() or b"")]
+            withdrawn.dropped = True
+            outbox.put(b"cancel", 0)
+            while frame := outbox.next_frame():
+                received += inbox.feed(frame)
+            self.assertEqual([message[:6] for message in received], [b"cancel", b"xxxxxx"], f"rank {rank}")
+            self.assertEqual((outbox.size, inbox.partial), (0, {}))
+
     def test_invalid_bytes_and_too_many_open_messages_are_rejected(self) -> None:
         with self.assertRaises(ProtocolError):
             list(Inbox().feed(b"GET / HTTP/1.1\r\n\r\n"))
