--- a/review/lib2/stand.py
+++ b/review/lib2/stand.py
@@ -32,6 +32,8 @@
 CONNECT_S = 1.0  # as clients give a new connection
 LOOK_S = 0.05  # between two looks
 GRACE_S = 6.0
+MEMORY_LOOK_S = 0.01
+RESTART_S = 0.5  # after which the platform starts a process again
 OK, MANY = 200, 300  # the range of a success
 BAD, MISDIRECTED, FULL, LATE = 400, 421, 503, 504
 HOST = "shop.example"
@@ -437,7 +439,10 @@
 class Deployment:
     """Three control nodes, and a sidecar for each of `services`."""
 
-    def __init__(self, record: Record, services: list[str], mem_mb: int = 300) -> None:
+    def __init__(
+        self, record: Record, services: list[str], mem_mb: int = 300, zones: tuple[str, ...] = ZONES
+    ) -> None:
+        """`zones`: of the sidecars, in turn."""
         self.record = record
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.net, self.ports = _free_net(CONTROLS, len(services))
@@ -475,7 +480,7 @@
                 "serves": "sidecar",
                 "quorum": "false",
                 "ip": node.ip,
-                "zone": ZONES[number % len(ZONES)],
+                "zone": zones[number % len(zones)],
                 "mem_mb": str(mem_mb),
                 "disk_mb": "0",
                 "service": service,
@@ -548,6 +553,41 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
+class Platform:
+    """Ends a sidecar that is over its memory limit, and starts it again after a short delay."""
+
+    def __init__(self, mesh: Deployment, record: Record, limit_mb: float) -> None:
+        self.mesh, self.record, self.limit_mb = mesh, record, limit_mb
+        self.peaks = {node.name: 0.0 for node in mesh.sidecars}
+        self.ends = {node.name: 0 for node in mesh.sidecars}
+        self._changed = asyncio.Event()
+
+    def ended(self, times: int) -> list[str]:
+        """The machines that have ended so often."""
+        return [name for name, ends in self.ends.items() if ends >= times]
+
+    async def next_end(self) -> None:
+        """Wait until a sidecar has ended."""
+        self._changed.clear()
+        await self._changed.wait()
+
+    async def watch(self) -> None:
+        """Look at all sidecars again and again."""
+        while True:
+            for node in self.mesh.sidecars:
+                resident = node.resident_mb() if node.runs else 0.0
+                self.peaks[node.name] = max(self.peaks[node.name], resident)
+                if resident > self.limit_mb:
+                    self.ends[node.name] += 1
+                    about = f"{node.name} ({node.values['service']}) is over {self.limit_mb} MB"
+                    self.record.say(f"{about}: {resident:.0f}; it is ended and started again")
+                    await node.end()
+                    self._changed.set()
+                    await asyncio.sleep(RESTART_S)
+                    await node.start()
+            await asyncio.sleep(MEMORY_LOOK_S)
+
+
 def route(name: str, prefix: str, kind: str, service: str, version: int, **more: object) -> dict[str, object]:
     """A route of the one host."""
     item: dict[str, object] = {
