Review case 6: dropped routes come back when an older change arrives again

Cause: the configuration keeps 16,384 tombstones and prunes the oldest beyond that; an item without a tombstone accepts any version. 12 changes that drop 1,400 routes each are enough.

Nothing is fixed.

--- a/review/6/play.py
+++ b/review/6/play.py
@@ -1,8 +1,9 @@
-"""Clients leave while their requests wait for a slot: do these still reach the server?"""
+"""Many routes come and go; then an older change arrives again: do the dropped routes stay dropped?"""
 
 from __future__ import annotations
 
 import asyncio
+import json
 import sys
 import time
 from pathlib import Path
@@ -12,71 +13,95 @@
 import stand  # noqa: E402
 
 SERVICES = ["desk", "depot"]
-AIM_S = 1.865  # the route's GoalS
-WORK_S = 0.256
-CAP = 5
-DEADLINE_MS = 11_780
-WARM_UP = 60  # requests before, three at a time, from which the sidecar learns how long they take
-CLIENTS = 30  # that come at the same moment
-LEAVES_AFTER_S = 0.3  # under a sixth of the aim
-REACH_S = 0.5  # after the close: what reaches a server later than this counts
-FEW = 5  # "more than a few"
-WATCH_S = 4.0
-
-
-async def one(mesh: stand.Deployment, record: stand.Record, ident: str, leaves: bool) -> float | None:
-    """One client: when it closed its connection; None if it had its answer before."""
-    wire = stand.Wire(mesh.sidecars[0].ip, mesh.ports["out"])
-    fields = {"Host": stand.HOST, "X-Request-Id": ident, "X-Deadline-Ms": str(DEADLINE_MS)}
-    try:
-        async with asyncio.timeout(LEAVES_AFTER_S if leaves else DEADLINE_MS / 1000):
-            await wire.send("POST", f"/put/{ident}", fields, b"x" * 2000)
-            record.line(f"client sends {ident}")
-            answer = await wire.answer()
-        record.line(f"client gets {answer.status} for {ident}")
-    except TimeoutError:
-        record.line(f"client of {ident} leaves")
-        wire.close()
-        return time.monotonic()
-    except OSError as err:
-        record.line(f"client of {ident}: {err!r}")
-    wire.close()
-    return None
+ROUTES = 1400  # that one change adds or drops: the largest dose of `big_config`
+ROUNDS = 13  # of a change that adds, and one that drops
+WAIT_S = 3.0  # longer than ApplyS, which is 2
+CALL_S = 10.0
+CAP = 9
+WORK_S = 0.02
+ASKED = (0, 1, 2, 700, 1399)  # numbers of dropped routes that are asked for
+DEADLINE_MS = 3000
+
+
+def names(number: int) -> list[str]:
+    """The names of the routes of one round."""
+    return [f"r-{number}-{count}" for count in range(ROUTES)]
+
+
+def adding(number: int, version: int) -> dict[str, object]:
+    """The change that adds the routes of one round."""
+    routes = [stand.route(name, f"/{name}/", "idempotent", "depot", version) for name in names(number)]
+    return {"Upsert": {"Routes": routes}, "Del": {"Routes": []}}
+
+
+def dropping(number: int, version: int) -> dict[str, object]:
+    """The change that drops them."""
+    dropped = [{"Name": name, "Ver": f"{version:08x}"} for name in names(number)]
+    return {"Upsert": {}, "Del": {"Routes": dropped}}
+
+
+async def present(mesh: stand.Deployment) -> set[str]:
+    """The names of the routes that the operator reads back."""
+    for number in range(20):
+        answer = await mesh.control("GET", "/Config.Fetch", b"", number)
+        if isinstance(answer, stand.Answer) and answer.status == stand.OK:
+            return {item["Name"] for item in json.loads(answer.body)["Routes"]}
+        await asyncio.sleep(0.2)
+    raise stand.CannotRunError("the configuration can't be read back")
+
+
+async def lookups(mesh: stand.Deployment, record: stand.Record) -> int:
+    """How many of the requests on dropped routes of the first round are served at a sidecar."""
+    served = 0
+    node = mesh.sidecars[0]
+    for count in ASKED:
+        ident = f"dropped-{time.monotonic_ns()}"
+        target = f"/{names(0)[count]}/x"
+        fields = {"Host": stand.HOST, "X-Request-Id": ident, "X-Deadline-Ms": str(DEADLINE_MS)}
+        answer = await stand.ask(node.ip, mesh.ports["out"], "GET", target, fields, b"", DEADLINE_MS / 1000)
+        status = answer if isinstance(answer, str) else answer.status
+        record.say(f"a request for {target}: {status}")
+        served += isinstance(answer, stand.Answer) and answer.good
+    return served
 
 
 async def play(record: stand.Record, trouble: bool) -> int:
-    """Many clients at once, who leave soon after; without the disruption they wait for their answers."""
+    """Routes come and go in 13 rounds. With the disruption the first of these changes arrives again."""
     mesh = stand.Deployment(record, SERVICES)
     servers: list[stand.Server] = []
     try:
         await mesh.start()
-        routes = [stand.route("r-put", "/put/", "mutating", "depot", 1, TmoS=12, GoalS=AIM_S)]
+        routes = [stand.route("r-stays", "/stays/", "idempotent", "depot", 1)]
         await mesh.patch(stand.first_call(routes, SERVICES))
         mesh.later()
         for node, service in zip(mesh.sidecars, SERVICES, strict=True):
             servers.append(stand.Server(record, service, node, CAP, lambda _asked: WORK_S))
             await servers[-1].start()
         await mesh.until(mesh.all_ready, "ready")
-        await asyncio.sleep(1.0)
-        for number in range(0, WARM_UP, 3):
-            await asyncio.gather(*(one(mesh, record, f"warm-{number + more}", False) for more in range(3)))
-        record.say(f"{CLIENTS} clients at once; they leave after {LEAVES_AFTER_S} s: {trouble}")
-        idents = [f"put-{number}" for number in range(CLIENTS)]
-        closed = await asyncio.gather(*(one(mesh, record, ident, trouble) for ident in idents))
-        await asyncio.sleep(WATCH_S)
-        closed_at = {ident: at for ident, at in zip(idents, closed, strict=True) if at is not None}
-        delays = [
-            at - closed_at[asked.ident]
-            for server in servers
-            for at, asked in server.arrived
-            if asked.ident in closed_at
-        ]
-        late = sorted(delay for delay in delays if delay > REACH_S)
-        ran = {asked.ident for server in servers for _, asked in server.ran}
-        record.say(f"{len(closed_at)} clients left; {len(ran & set(closed_at))} of their requests ran")
-        shown = ", ".join(f"{delay:.2f}" for delay in late)
-        record.say(f"GONE: {len(late)} reached a server over {REACH_S} s after the close: {shown}")
-        return stand.BROKEN if len(late) > FEW else stand.HELD
+        version = 2
+        first = adding(0, version)
+        began_at = time.monotonic()
+        for number in range(ROUNDS):
+            await mesh.patch(adding(number, version) if number else first, CALL_S)
+            record.line(f"version {version:08x}, which adds the routes of round {number}, is acknowledged")
+            await mesh.patch(dropping(number, version + 3), CALL_S)
+            record.line(f"version {version + 3:08x}, which drops them, is acknowledged")
+            version += 5
+        took = time.monotonic() - began_at
+        record.say(f"{2 * ROUNDS} changes of {ROUTES} routes each, all acknowledged, in {took:.1f} s")
+        await asyncio.sleep(WAIT_S)
+        back = await present(mesh) - {"r-stays"}
+        record.say(f"read back before: {len(back)} dropped routes are present")
+        if back or await lookups(mesh, record):
+            raise stand.CannotRunError("the dropped routes were not dropped")
+        if trouble:
+            record.say("the change of version 00000002 arrives again")
+            await mesh.patch(first, CALL_S)
+        await asyncio.sleep(WAIT_S)
+        back = await present(mesh) - {"r-stays"}
+        served = await lookups(mesh, record)
+        record.say(f"CONFIG: {len(back)} dropped routes are present; {served} of {len(ASKED)} requests ran")
+        return stand.BROKEN if back or served else stand.HELD
     finally:
         for server in servers:
             server.stop()
