--- a/review/lib2/stand.py
+++ b/review/lib2/stand.py
@@ -350,7 +350,7 @@
         self.life = f"i-{random.getrandbits(32):08x}"
         self.ip, self.port = sidecar.ip, int(sidecar.values["upstream"].rpartition(":")[2])
         self.slots = asyncio.Semaphore(cap)
-        self.queued = self.seq = 0
+        self.queued = self.seq = self.acknowledged = 0
         self.guests: set[Guest] = set()
         self.arrived: list[tuple[float, Asked]] = []
         self.ran: list[tuple[float, Asked]] = []
@@ -369,15 +369,21 @@
             await self.tell("up")
             await asyncio.sleep(BEAT_S)
 
-    async def tell(self, state: str) -> bool:
-        """Send one beat; whether it was acknowledged."""
-        self.seq += 1
-        body = {
+    def heartbeat(self, state: str) -> dict[str, object]:
+        """The body of a beat."""
+        return {
             "Addr": f"{self.ip}:{self.port}",
             "Summary": {"Svc": self.service, "Ver": "v1", "Az": self.sidecar.values["zone"], "Cap": self.cap},
             "Stat": {"State": state, "Seq": self.seq, "ColdS": 0},
         }
-        return await self._call(f"/Instances.Heartbeat/{self.life}", json.dumps(body).encode())
+
+    async def tell(self, state: str) -> bool:
+        """Send one beat; whether it was acknowledged."""
+        self.seq += 1
+        path, body = f"/Instances.Heartbeat/{self.life}", json.dumps(self.heartbeat(state)).encode()
+        acknowledged = await self._call(path, body)
+        self.acknowledged += acknowledged
+        return acknowledged
 
     async def _call(self, path: str, body: bytes) -> bool:
         fields = {"Host": "ctl", "Content-Type": "application/json"}
