Mesh.Status of a sidecar states which bodies its memory holds

Ruled out: a log line for each body (no request is logged when all goes well).

Change: `memory_bytes` in Mesh.Status: the resident size, the bodies that arrive, wait, run, are unsent, incomplete or stored, and how many objects full runs of the collector freed. Loaded with the first call.

A scratch copy that ran the collector each 2 s and kept what it found: 16 bodies of 10 MiB since the last look, all in a Message that a Job and its UpstreamCall hold, which refer to each other.

--- a/minthitch/mesh/http/listener.py
+++ b/minthitch/mesh/http/listener.py
@@ -203,6 +203,10 @@
             if caller.transport is not None
         )
 
+    def body_bytes(self) -> int:
+        """Bytes of request bodies that are arriving, or wait for an earlier request of their connection."""
+        return sum(caller.waiting_body_bytes() for caller in self.callers.all)
+
     def close(self) -> None:
         if self.server is not None:
             self.server.close()
--- a/minthitch/mesh/sidecar/admission.py
+++ b/minthitch/mesh/sidecar/admission.py
@@ -300,6 +300,16 @@
             waiting.job.deadline = waiting.deadline
         self.loop.call_at(end_by, self._reject_queued, "leaving")
 
+    def body_bytes(self) -> tuple[int, int]:
+        """Bytes of the request bodies of the calls that are queued, and of those that run."""
+        queued = running = 0
+        for job in self.jobs.values():
+            if job.upstream_call is None:
+                queued += len(job.message.body)
+            else:
+                running += len(job.message.body)
+        return queued, running
+
     def server_fields(self) -> tuple[Any, ...]:
         """What is reported of the server: its id, slots, state, seconds left of its slow start."""
         return self.server_id, self.slots, self.state, max(self.slow_start_until - self.loop.time(), 0.0)
--- a/minthitch/mesh/sidecar/handlers.py
+++ b/minthitch/mesh/sidecar/handlers.py
@@ -4,6 +4,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
 from msgspec.json import encode
@@ -18,6 +19,7 @@
 from minthitch.net.callers import Incoming
 
 if TYPE_CHECKING:
+    from minthitch.mesh.sidecar.memory_usage import MemoryUsage
     from minthitch.mesh.sidecar.tracing import Tracer
 
 MAX_HEADER_BYTES, MAX_BODY_BYTES = 16 * 1024, 64 * 1024  # of a heartbeat
@@ -30,6 +32,8 @@
     def __init__(self, sidecar: Sidecar) -> None:
         self.sidecar = sidecar
         self.tracer: Tracer | None = None  # made when tracing is first switched on
+        # Set by the program, which has the listeners and connections.
+        self.measure_memory: Callable[[], MemoryUsage] | None = None
 
     def on_client_lost(self, client: ClientConnection) -> None:
         pass
@@ -104,6 +108,8 @@
             "most_bytes": MAX_ANSWER_BYTES,
             "keep_s": round(operations.retention_s, 1),
         }
+        if self.measure_memory is not None:
+            answer["memory_bytes"] = self.measure_memory()
         answer["traced"] = self.tracer.status() if self.tracer is not None else {}
         return answer
 
--- a/minthitch/mesh/sidecar/program.py
+++ b/minthitch/mesh/sidecar/program.py
@@ -5,6 +5,7 @@
 import asyncio
 import signal
 import time
+from typing import TYPE_CHECKING
 from weakref import WeakSet
 
 from minthitch.mesh.configuration.settings import NodeSettings
@@ -16,6 +17,9 @@
 from minthitch.mesh.sidecar.sidecar import Sidecar
 from minthitch.mesh.transport.connection import Connection
 
+if TYPE_CHECKING:
+    from minthitch.mesh.sidecar.memory_usage import MemoryUsage
+
 POLL_INTERVAL_S = 0.1  # between two checks for open requests in a shutdown
 RESERVED_DESCRIPTORS = 200  # for files, mesh connections and listeners
 RESIDENT_MB = 60.0  # of memory without long request bodies
@@ -40,8 +44,9 @@
     memory = int(max(settings.own.limits.mem_mb - RESIDENT_MB, 16.0) * 1024 * 1024) // 3
     max_connections = max((settings.own.limits.nofile - RESERVED_DESCRIPTORS) * 2 // 3, 64)
     admin = AdminHandler(sidecar)
+    clients = Listener(sidecar, max_connections, memory)
     listeners = (
-        (settings.net.bind.out, Listener(sidecar, max_connections, memory)),
+        (settings.net.bind.out, clients),
         (settings.net.bind.readyz, Listener(admin, 64, 0)),
         (settings.net.bind.ctl, Listener(admin, 64, 0)),
     )
@@ -59,6 +64,13 @@
         inbound.add(connection)
         return connection
 
+    def measure() -> MemoryUsage:
+        from minthitch.mesh.sidecar.memory_usage import measure_memory  # loaded with the first Mesh.Status
+
+        return measure_memory(sidecar, clients, inbound)
+
+    admin.measure_memory = measure
+
     def unsent() -> int:
         return sum(listener.unsent_bytes() for _, listener in listeners) + sum(
             one.unsent_bytes() for one in inbound
--- a/minthitch/net/callers.py
+++ b/minthitch/net/callers.py
@@ -344,6 +344,11 @@
         """Whether requests, complete or partial, have arrived and are not answered yet."""
         return bool(self.pipelined or self.unparsed or self.reading)
 
+    def waiting_body_bytes(self) -> int:
+        """Bytes of bodies that are arriving, or wait for an earlier request."""
+        waiting = sum(len(item.body) for item in self.pipelined if isinstance(item, Incoming))
+        return waiting + self.body.getbuffer().nbytes
+
     def _release_memory(self) -> None:
         if self.held_body_bytes and not self.pipelined:
             self.held_body_bytes = 0
