--- a/minthitch/mesh/http/upstream.py
+++ b/minthitch/mesh/http/upstream.py
@@ -91,12 +91,10 @@
     ) -> None:
         """`deadline`: on the monotonic clock, in nanoseconds; `once`: the request may not run twice."""
         self.server, self.message, self.request_id, self.server_id = server, message, request_id, server_id
-        self.caller_service, self.deadline, self.at_most_once, self.on_done = (
-            caller_service,
-            deadline,
-            once,
-            on_done,
-        )
+        self.caller_service, self.deadline, self.at_most_once = caller_service, deadline, once
+        # None once it has been called: it refers to objects that refer to this call, and these would keep the
+        # body until a collection.
+        self.on_done: Callable[[Outcome], None] | None = on_done
         self.started = time.monotonic_ns()
         self.status: api.Status | None = None
         self.handle: Connection | None = None
@@ -126,7 +124,9 @@
         carried, self.handle = self.handle, None
         if carried is not None:
             carried.drop()
-        self.on_done(outcome)
+        on_done, self.on_done = self.on_done, None
+        if on_done is not None:
+            on_done(outcome)
 
     def cancel(self) -> None:
         """The caller does not need it any more. The connection is closed, which most servers notice."""
@@ -158,6 +158,7 @@
         if len(body) > MAX_COPY_BYTES:
             self.transport.write(head)
             self.transport.write(body)
+            call.message.body = b""  # the transport has it, and nothing is written twice
         else:
             self.transport.write(head + body)
         if self.transport.get_write_buffer_size() == 0:
@@ -260,6 +261,14 @@
     def run(self, call: UpstreamCall) -> None:
         self.start(cast(Attempt, call))
 
+    def unsent_bytes(self) -> int:
+        """Bytes of requests that the operating system has not taken yet."""
+        return sum(
+            connection.transport.get_write_buffer_size()
+            for connection in self.connections
+            if connection.transport is not None
+        )
+
     async def _open(self, server: Server) -> Connection:
         self.connecting_count += 1
         try:
--- a/minthitch/mesh/sidecar/admission.py
+++ b/minthitch/mesh/sidecar/admission.py
@@ -301,8 +301,8 @@
         self.loop.call_at(end_by, self._reject_queued, "leaving")
 
     def body_bytes(self) -> tuple[int, int]:
-        """Bytes of the request bodies of the calls that are queued, and of those that run."""
-        queued = running = 0
+        """Bytes of the request bodies of queued calls, and of running ones that are not sent yet."""
+        queued, running = 0, self.server_pool.unsent_bytes()
         for job in self.jobs.values():
             if job.upstream_call is None:
                 queued += len(job.message.body)
--- a/minthitch/mesh/sidecar/memory_usage.py
+++ b/minthitch/mesh/sidecar/memory_usage.py
@@ -28,7 +28,7 @@
     client_bodies: int  # request bodies that are arriving, or wait for an earlier request of their connection
     open_requests: int  # bodies of requests that were accepted here and have not ended
     queued_calls: int  # bodies of calls that wait for the server beside this sidecar
-    running_calls: int  # bodies of calls that run at it
+    running_calls: int  # bodies of calls that run at it, as far as it has not got them yet
     unsent: int  # queued for other processes
     incomplete: int  # parts of messages whose end has not arrived
     stored_answers: int  # answers that are kept for repeated keys
--- a/tests/mesh/test_admission.py
+++ b/tests/mesh/test_admission.py
@@ -36,6 +36,9 @@
     def hang_up(self, server: Any) -> None:
         pass
 
+    def unsent_bytes(self) -> int:
+        return 0
+
     def close(self) -> None:
         pass
 
