--- a/minthitch/net/callers.py
+++ b/minthitch/net/callers.py
@@ -81,6 +81,16 @@
         self.call: Call | None = None  # as passed to the engine
 
 
+def _rejection_of(err: Exception) -> Rejected:
+    """The rejection that a callback of the parser has raised, or one that states the parser's own error.
+
+    A function of its own: a local name of the caller that refers to an exception raised below it would be a
+    reference cycle, with all that was read.
+    """
+    cause = err.__context__
+    return cause if isinstance(cause, Rejected) else Rejected(400, f"malformed HTTP ({type(err).__name__})")
+
+
 class CallerHost(Protocol):
     """What a caller's connection needs from its node."""
 
@@ -103,6 +113,8 @@
         self.callers, self.host = callers, callers.host
         self.loop = asyncio.get_running_loop()
         self.transport: asyncio.Transport | None = None
+        # It refers to this object, so it is deleted with the connection: together they would stay until a
+        # collection.
         self.parser = httptools.HttpRequestParser(self)
         self.incoming = Incoming()
         # Of the request being read: bytes of its head or of its framed body, and bytes of the body alone.
@@ -132,7 +144,8 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.pipelined.clear()
-        self.unparsed = b""
+        self._discard_partial()
+        del self.parser
         stream, self.stream = self.stream, None
         if stream is not None:
             stream.drop()
@@ -184,18 +197,20 @@
             except Rejected as err:
                 self._stop_reading(err)
             except (httptools.HttpParserError, httptools.HttpParserUpgrade) as err:
-                cause = err.__context__
-                self._stop_reading(
-                    cause
-                    if isinstance(cause, Rejected)
-                    else Rejected(400, f"malformed HTTP ({type(err).__name__})")
-                )
+                self._stop_reading(_rejection_of(err))
 
     def _stop_reading(self, err: Rejected) -> None:
         """Rejects the current request and ignores everything after it."""
-        self.broken, self.reading, self.unparsed = True, False, b""
+        self.broken, self.reading = True, False
         self.host.on_rejected(self.incoming.fields, err)
-        self.pipelined.append(err)
+        self.pipelined.append(err.with_traceback(None))  # its frames hold the bytes that were being read
+        self._discard_partial()
+
+    def _discard_partial(self) -> None:
+        """Frees what has arrived of a request that will not be complete, and the memory reserved for it."""
+        self.unparsed, self.body, self.incoming = b"", io.BytesIO(), Incoming()
+        if not self.held_body_bytes:  # else the reservation is also for complete bodies that are still needed
+            self.callers.release_memory(self)
 
     # Parser callbacks ------------------------------------------------------------------------
 
@@ -450,7 +465,8 @@
         if self.transport is not None and not self.closing:
             self.closing, self.since = True, self.loop.time()
             self.pipelined.clear()
-            self.unparsed = b""
+            self._release_memory()
+            self._discard_partial()
             self.transport.close()
             self.callers.update_idle(self)
 
--- a/minthitch/net/pool.py
+++ b/minthitch/net/pool.py
@@ -76,7 +76,9 @@
         self.pool, self.server = pool, server
         self.attempt: Attempt | None = None
         self.transport: asyncio.Transport | None = None
-        self.parser = httptools.HttpResponseParser(self)
+        # It refers to this object, so it exists only from `connection_made` to `connection_lost`: together
+        # they would stay until a collection.
+        self.parser: httptools.HttpResponseParser
         self.written = self.reused = False
         self.last_used_at = 0.0  # loop time at which it became idle or last received data
         # Bytes of the current body: counted in the pool's buffered_bytes, and received in all.
@@ -105,6 +107,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
+        self.parser = httptools.HttpResponseParser(self)
         self.transport.set_write_buffer_limits(high=0)  # so that resume_writing means that all bytes are sent
         self.pool.connections.add(self)
 
@@ -223,6 +226,7 @@
         ):
             self.pool.avoid_reuse_until = self.pool.loop.time() + STALE_AVOID_S
         self._finish(api.Status.RESET if self.written else api.Status.CONNECT_FAILED)
+        del self.parser
 
     # Parser callbacks ------------------------------------------------------------------------
 
--- a/tests/mesh/retained_memory.py
+++ b/tests/mesh/retained_memory.py
@@ -20,6 +20,7 @@
 ROUNDS = 4  # ends of each kind that are measured
 RETAINED_BYTES = BODY_BYTES // 2  # allowed after all of them: less than one body
 WAIT_S = 5.0
+PRODUCT_MODULES = ("minthitch.", "httptools.")
 
 
 class RetainedMemory:
@@ -45,6 +46,21 @@
         """Bytes."""
         return tracemalloc.get_traced_memory()[0] - self.before
 
+    def cyclic_types(self) -> set[str]:
+        """Types of the product's objects, and of its parsers, that only the collector would free."""
+        gc.set_debug(gc.DEBUG_SAVEALL)
+        try:
+            gc.collect()
+            return {
+                type(item).__name__
+                for item in gc.garbage
+                if type(item).__module__.startswith(PRODUCT_MODULES)
+            }
+        finally:
+            gc.set_debug(0)
+            gc.garbage.clear()
+            gc.collect()
+
 
 async def until(holds: Callable[[], Any], what: str) -> None:
     """Wait until the condition holds, and for what is due then. Raises AssertionError after WAIT_S."""
--- a/tests/mesh/test_ended_calls.py
+++ b/tests/mesh/test_ended_calls.py
@@ -81,11 +81,12 @@
             with RetainedMemory() as retained:
                 for _ in range(ROUNDS):
                     await way()
-                size = retained.size
+                size, cyclic = retained.size, retained.cyclic_types()
             self.admission.close()
             self.listener.close()
             self.assertEqual(self.admission.jobs, {})
             self.assertLess(size, RETAINED_BYTES)
+            self.assertEqual(cyclic, set())
 
         run_on_daemon_loop(main)
 
