A lost link, a sent message and an answered request hold no body any more

A call that runs on refers to the lost connection over which its answer would go, and so to what was queued and received in part there, up to 96 and 80 MiB; a request refers to the message that it has sent, with a copy of its body, until the reply; and one whose client was answered or is gone keeps its body until the last attempt ends, while the memory that was reserved for it is free for others.

Change: a lost connection drops its queue and its partial messages; a message drops its data with its last frame; an exchange drops its body when its client has its answer or is gone, as no attempt is sent after that.

--- a/minthitch/mesh/sidecar/exchange.py
+++ b/minthitch/mesh/sidecar/exchange.py
@@ -382,9 +382,14 @@
 
     def _respond(self, status: int, fields: Fields, body: bytes) -> None:
         if not self.answered:
-            self.answered = True
+            self._on_answered()
             self.client.respond(self.token, status, fields, body)
 
+    def _on_answered(self) -> None:
+        """No further attempt is sent, so the body is not needed, even if the last one still runs."""
+        self.answered = True
+        self.request.body = b""
+
     def _close(self) -> None:
         if self.closed:
             return
@@ -410,6 +415,6 @@
 
     def on_client_gone(self) -> None:
         """Cancels an idempotent request; any other runs on to its outcome."""
-        self.answered = True
+        self._on_answered()
         if not self.at_most_once:
             self._close()
--- a/minthitch/mesh/transport/connection.py
+++ b/minthitch/mesh/transport/connection.py
@@ -82,6 +82,8 @@
             self.check_timer.cancel()
         self.transport = None
         self.receiver.on_connection_lost(self)
+        # A call that runs on refers to the connection over which its answer would go.
+        self.outbox, self.inbox = Outbox(), Inbox()
 
     def send(self, message: ops.Message, priority: int = 1) -> OutgoingMessage:
         """Queue a message. Raises ProtocolError if it is too long."""
--- a/minthitch/mesh/transport/framing.py
+++ b/minthitch/mesh/transport/framing.py
@@ -23,18 +23,21 @@
 
 
 class OutgoingMessage:
-    """A message that is being sent. `dropped` withdraws it, which works until its first frame is taken."""
+    """A message that is being sent. `dropped` withdraws it, which works until its first frame is taken.
 
-    __slots__ = ("number", "data", "offset", "dropped")
+    Whoever sent it may refer to it until the reply, so it holds its data only until the last frame is taken.
+    """
+
+    __slots__ = ("number", "data", "size", "offset", "dropped")
 
     def __init__(self, number: int, data: bytes) -> None:
-        self.number, self.data, self.offset = number, data, 0
+        self.number, self.data, self.size, self.offset = number, data, len(data), 0
         self.dropped = False
 
     @property
     def fully_sent(self) -> bool:
         """Whether its last frame has been handed on: from then on the peer may act on it."""
-        return self.offset >= len(self.data)
+        return self.offset >= self.size
 
 
 class Outbox:
@@ -61,7 +64,7 @@
             while queue:
                 outgoing = queue.popleft()
                 if outgoing.dropped and not outgoing.offset:
-                    self.size -= len(outgoing.data)
+                    self.size -= outgoing.size
                 elif outgoing.dropped and queue is not lowest:
                     # One that has begun is sent to its end, because the peer holds its first part. But the
                     # notice that withdraws it, of the highest priority, must leave before its last frame.
@@ -74,7 +77,9 @@
         part = outgoing.data[outgoing.offset : outgoing.offset + MAX_FRAME_PAYLOAD]
         outgoing.offset += len(part)
         self.size -= len(part)
-        if not outgoing.fully_sent:
+        if outgoing.fully_sent:
+            outgoing.data = b""
+        else:
             queue.append(outgoing)
         return FRAME_HEADER.pack(len(part), outgoing.number, outgoing.fully_sent) + part
 
