--- a/minthitch/mesh/configuration/items.py
+++ b/minthitch/mesh/configuration/items.py
@@ -3,7 +3,8 @@
 Deterministic: the same calls at the same log indices give the same rows and verdicts on every node. Items
 are stored as the bytes that were sent, so reading them back returns exactly those, with unknown fields and
 sections. For each name the highest version wins, whether it sets or deletes the item. A deleted item leaves
-a tombstone; without it, an older change that is sent again would restore the item.
+a tombstone, and once that is pruned its version (`deleted_versions`); without them, an older change that is
+sent again would restore the item.
 """
 
 from __future__ import annotations
@@ -13,6 +14,7 @@
 from msgspec import Struct, json, msgpack
 
 from minthitch.mesh.configuration.call_parser import SINGLE_NAME, Row, parse_call, same_content
+from minthitch.mesh.configuration.deleted_versions import DeletedVersions
 from minthitch.mesh.configuration.errors import ErrorKind
 from minthitch.mesh.configuration.schema import KNOWN_SECTIONS, ROUTE_DECODER, ROUTES, SERVICES
 from minthitch.mesh.configuration.validation import (
@@ -25,9 +27,8 @@
     label,
 )
 
-# Beyond this many deletions the oldest tombstones are pruned. An old change that is sent again can then undo
-# such a deletion, and an acknowledged change may be rejected when it is repeated. The limit covers one day
-# with 850 changes that delete 19 names each. Only actual deletions use memory.
+# Beyond this many deletions the oldest tombstones are pruned: a replica that has not seen them gets all rows
+# in place of the changes. Of a pruned tombstone the state machine keeps the version.
 MAX_TOMBSTONES = 16_384
 
 
@@ -55,7 +56,17 @@
     rows: list[Row]
 
 
+class _Snapshot(Delta, frozen=True, array_like=True):
+    """All rows, and the versions of pruned tombstones, as `DeletedVersions.pack` gives them.
+
+    Without such versions a snapshot is a plain `Delta`, as earlier versions of this program read and wrote.
+    """
+
+    deleted_versions: bytes = b""
+
+
 _DELTA_DECODER = msgpack.Decoder(Delta)
+_SNAPSHOT_DECODER = msgpack.Decoder(_Snapshot)
 
 
 class ItemSet:
@@ -92,14 +103,17 @@
         rows = [row for row in self._rows.values() if row.index > after]
         return msgpack.encode(Delta(after, self.index, self._pruned_index, rows))
 
-    def _prune_tombstones(self) -> None:
+    def _prune_tombstones(self) -> list[Row]:
+        """Remove the oldest tombstones beyond MAX_TOMBSTONES, and return them."""
         tombstones = [row for row in self._rows.values() if row.body is None]
         if len(tombstones) <= MAX_TOMBSTONES:
-            return
+            return []
         tombstones.sort(key=lambda row: (row.version, row.index, row.section, row.name))
-        for row in tombstones[:-MAX_TOMBSTONES]:
+        pruned = tombstones[:-MAX_TOMBSTONES]
+        for row in pruned:
             del self._rows[row.key]
             self._pruned_index = max(self._pruned_index, row.index)
+        return pruned
 
 
 class Items(ItemSet):
@@ -108,6 +122,7 @@
     def __init__(self) -> None:
         super().__init__()
         self._route_facts: dict[str, RouteFacts] = {}  # by name; a check decodes only the call's items
+        self._deleted_versions = DeletedVersions()  # of pruned tombstones
 
     def apply(self, body: bytes, index: int) -> Verdict:
         """Apply the call at log index `index`, completely or not at all."""
@@ -121,8 +136,11 @@
         return self._check(body, self.index)[0]
 
     def snapshot(self) -> bytes:
-        """All rows, with tombstones and indices, in msgpack."""
-        return msgpack.encode(Delta(0, self.index, self._pruned_index, list(self._rows.values())))
+        """All rows, with tombstones, indices and the versions of pruned tombstones, in msgpack."""
+        rows, deleted = list(self._rows.values()), self._deleted_versions.pack()
+        if not deleted:
+            return msgpack.encode(Delta(0, self.index, self._pruned_index, rows))
+        return msgpack.encode(_Snapshot(0, self.index, self._pruned_index, rows, deleted))
 
     def restore(self, snapshot: bytes) -> None:
         """Replace the contents by those of `snapshot`.
@@ -130,12 +148,13 @@
         Raises:
             msgspec.DecodeError: not a snapshot; this object is unchanged.
         """
-        delta = _DELTA_DECODER.decode(snapshot)
-        self.index = delta.index
-        self._pruned_index = delta.pruned_index
+        state = _SNAPSHOT_DECODER.decode(snapshot)
+        self.index = state.index
+        self._pruned_index = state.pruned_index
         self._rows = {}
         self._route_facts = {}
-        self._store(delta.rows)
+        self._deleted_versions = DeletedVersions(state.deleted_versions)
+        self._store(state.rows)
 
     def _check(self, body: bytes, index: int) -> tuple[Verdict, list[Row]]:
         """The verdict on a call, and the rows that it would change."""
@@ -152,12 +171,20 @@
             return Verdict(False, reason, kind=ErrorKind.CONFIG_CONFLICT), []
         return Verdict(True, changed=bool(rows)), rows
 
+    def _present(self, key: Key) -> Row | None:
+        """The row of a name, or its tombstone even if that was pruned; None if it was never known."""
+        row = self._rows.get(key)
+        if row is not None:
+            return row
+        version = self._deleted_versions.find(key)
+        return None if version is None else Row(*key, version, self._pruned_index, None)
+
     def _wins(self, row: Row) -> bool:
-        present = self._rows.get(row.key)
+        present = self._present(row.key)
         return present is None or row.version > present.version
 
     def _conflicts(self, row: Row) -> bool:
-        present = self._rows.get(row.key)
+        present = self._present(row.key)
         return (
             present is not None
             and row.version == present.version
@@ -182,7 +209,8 @@
             self._rows[row.key] = row
             _update_facts(self._route_facts, row)
         if any(row.body is None for row in rows):
-            self._prune_tombstones()
+            for row in self._prune_tombstones():
+                self._deleted_versions.add(row.key, row.version)
 
 
 class Replica(ItemSet):
--- a/tests/mesh/test_configuration.py
+++ b/tests/mesh/test_configuration.py
@@ -7,7 +7,7 @@
 from typing import Any
 from unittest import mock
 
-from msgspec import json
+from msgspec import json, msgpack
 
 from minthitch.mesh.configuration import calls, items, settings
 from minthitch.mesh.configuration.errors import REPLIES, ErrorKind
@@ -239,7 +239,48 @@
             self.assertTrue(lagging.merge(machine.since(lagging.index)))
         self.assertEqual((lagging.fetch(), copy.fetch()), (machine.fetch(), machine.fetch()))
         self.assertFalse(machine.apply(call(drop={"Routes": [deleted("z", 3)]}), 9).changed)
-        self.assertTrue(machine.apply(call({"Routes": [route()]}), 10).changed, "forgotten")
+        self.assertFalse(machine.apply(call({"Routes": [route()]}), 10).changed, "dropped at version 12")
+        self.assertTrue(machine.apply(call({"Routes": [route(ver=13)]}), 11).changed)
+
+    def test_a_pruned_deletion_still_decides_after_a_snapshot_and_at_its_own_version(self) -> None:
+        # Guards against: an older change that arrived again restored routes whose tombstones were pruned.
+        machine, _ = state(first(route(ver=3), route("r-2", 3)))
+        with mock.patch.object(items, "MAX_TOMBSTONES", 0):
+            machine.apply(call(drop={"Routes": [deleted("r-1", 5)]}), 2)
+            machine.apply(call(drop={"Routes": [deleted("r-1", 4)]}), 3)
+            restored = Items()
+            restored.restore(machine.snapshot())
+            for stands in (machine, restored):
+                self.assertFalse(stands.apply(call({"Routes": [route(ver=3)]}), 4).changed)
+                repeated = stands.apply(call(drop={"Routes": [deleted("r-1", 5)]}), 5)
+                self.assertEqual((repeated.ok, repeated.changed), (True, False))
+                other = stands.apply(call({"Routes": [route(ver=5)]}), 6)
+                self.assertEqual(other.kind, ErrorKind.CONFIG_CONFLICT)
+                self.assertTrue(stands.apply(call({"Routes": [route("new", 1)]}), 7).changed, "a new name")
+                self.assertTrue(stands.apply(call({"Routes": [route(ver=6)]}), 8).changed)
+                self.assertTrue(stands.apply(call(drop={"Routes": [deleted("r-1", 7)]}), 9).changed)
+                self.assertFalse(stands.apply(call({"Routes": [route(ver=6)]}), 10).changed)
+        self.assertEqual(machine.snapshot(), restored.snapshot())
+
+    def test_a_snapshot_without_pruned_deletions_is_the_one_of_earlier_versions(self) -> None:
+        machine, _ = state(first(route()), call(drop={"Routes": [deleted("r-1", 9)]}))
+        delta = items.Delta(0, 2, 0, list(machine._rows.values()))
+        self.assertEqual(machine.snapshot(), msgpack.encode(delta))
+        with mock.patch.object(items, "MAX_TOMBSTONES", 0):
+            machine.apply(call(drop={"Routes": [deleted("r-2", 9)]}), 3)
+        self.assertEqual(msgpack.decode(machine.snapshot(), type=items.Delta).index, 3)
+
+    def test_100_000_deletions_take_20_bytes_each(self) -> None:
+        machine, names, batch = Items(), [f"route-{number}" for number in range(100_000)], 4_000
+        for index, begin in enumerate(range(0, len(names), batch), 1):
+            drops = [deleted(name, 2) for name in names[begin : begin + batch]]
+            self.assertTrue(machine.apply(call(drop={"Routes": drops}), index).ok)
+        pruned = len(names) - items.MAX_TOMBSTONES
+        tombstones = msgpack.encode(items.Delta(0, machine.index, 0, list(machine._rows.values())))
+        self.assertLess(len(machine.snapshot()), 20 * pruned + len(tombstones) + 16)
+        old = [route(name, 1) for name in names[:: len(names) // 50]]
+        machine.apply(first(), 98)
+        self.assertFalse(machine.apply(call({"Routes": old}), 99).changed)
 
 
 class Replicas(unittest.TestCase):
@@ -275,8 +316,8 @@
     @staticmethod
     def change(rng: random.Random, index: int) -> bytes:
         names = rng.sample(range(12), 3)
-        # Mostly newer versions, some late. Versions older than a pruned tombstone are not tested here.
-        vers = [max(1, 10 * index - rng.choice([0, 3, 10])) for _ in names]
+        # Mostly newer versions, some late, some older than tombstones that are pruned by now.
+        vers = [max(1, 10 * index - rng.choice([0, 3, 10, 200])) for _ in names]
         sets = [route(f"r-{n}", ver, Svc=f"s-{rng.randrange(3)}") for n, ver in zip(names, vers, strict=True)]
         split = rng.randrange(4)
         return call(
--- a/tests/mesh/test_pages_configuration.py
+++ b/tests/mesh/test_pages_configuration.py
@@ -15,6 +15,7 @@
 
 from minthitch.mesh.configuration import items
 from minthitch.mesh.configuration.call_parser import Row
+from minthitch.mesh.configuration.deleted_versions import DeletedVersions
 from minthitch.mesh.configuration.errors import ErrorKind
 from minthitch.mesh.configuration.items import Items, Verdict
 
@@ -136,9 +137,17 @@
             self.assertTrue(Day(1).run(5))
 
     def test_planted_fault_tombstones_pruned_too_early_is_found(self) -> None:
-        with mock.patch.object(items, "MAX_TOMBSTONES", 1):
+        with (
+            mock.patch.object(items, "MAX_TOMBSTONES", 1),
+            mock.patch.object(DeletedVersions, "find", lambda versions, key: None),
+        ):
             self.assertTrue(Day(1).run(10))
 
+    def test_a_repeat_changes_nothing_however_few_tombstones_are_kept(self) -> None:
+        for seed in range(60):
+            with self.subTest(seed=seed), mock.patch.object(items, "MAX_TOMBSTONES", seed % 4):
+                self.assertEqual(Day(seed).run(40), [])
+
 
 class LongDay(unittest.TestCase):
     """A day with the operators' target of 850 changes, each of which deletes many names."""
--- a/tests/mesh/test_start.py
+++ b/tests/mesh/test_start.py
@@ -39,6 +39,7 @@
     "mesh.configuration.calls",
     "mesh.configuration.errors",
     "mesh.configuration.call_parser",
+    "mesh.configuration.deleted_versions",
     "mesh.configuration.items",
     "mesh.configuration.schema",
     "mesh.configuration.validation",
