--- a/minthitch/mesh/configuration/call_parser.py
+++ b/minthitch/mesh/configuration/call_parser.py
@@ -6,6 +6,7 @@
 
 from msgspec import UNSET, DecodeError, Raw, Struct, UnsetType, json
 
+from minthitch.mesh.configuration.nesting import MAX_NESTING, is_nested_too_deep
 from minthitch.mesh.configuration.schema import (
     ANY_DECODER,
     KNOWN_SECTIONS,
@@ -66,10 +67,12 @@
 
 
 def _decode_call(body: bytes) -> _Call:
+    if is_nested_too_deep(body):
+        raise InvalidCallError(f"call: can't be read: nested deeper than {MAX_NESTING}")
     try:
         ANY_DECODER.decode(body)  # parts kept as raw bytes are returned later, so must be valid JSON
         call = _CALL_DECODER.decode(body)
-    except (DecodeError, RecursionError) as error:
+    except DecodeError as error:
         raise InvalidCallError(f"call: can't be read: {error}") from None
     if call.upsert is UNSET and call.delete is UNSET:
         raise InvalidCallError("call: neither Upsert nor Del")
--- a/tests/mesh/test_start.py
+++ b/tests/mesh/test_start.py
@@ -40,6 +40,7 @@
     "mesh.configuration.errors",
     "mesh.configuration.call_parser",
     "mesh.configuration.deleted_versions",
+    "mesh.configuration.nesting",
     "mesh.configuration.items",
     "mesh.configuration.schema",
     "mesh.configuration.validation",
