--- a/minthitch/mesh/http/upstream.py
+++ b/minthitch/mesh/http/upstream.py
@@ -14,6 +14,7 @@
 from minthitch.engine.attempts import Attempt
 from minthitch.engine.calls import Message, Served
 from minthitch.engine.servers import Server
+from minthitch.mesh.http.instance_probe import ProbeVerdict, probe_instance
 from minthitch.net.pool import IDLE_FRACTION, MAX_COPY_BYTES, Connection, Pool
 
 # Assumed idle limit of the server until it states one in Keep-Alive. The pool uses half of it, well below
@@ -261,6 +262,16 @@
     def run(self, call: UpstreamCall) -> None:
         self.start(cast(Attempt, call))
 
+    def probe(self, path: str, server_id: str, address: str, done: Callable[[ProbeVerdict], None]) -> None:
+        """Ask the server at `address`, by the health check at `path`, whether this run of it is there."""
+
+        async def probe() -> None:
+            done(await probe_instance(address, path, server_id))
+
+        task = self.loop.create_task(probe())
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
     def unsent_bytes(self) -> int:
         """Bytes of requests that the operating system has not taken yet."""
         return sum(
--- a/minthitch/mesh/sidecar/admission.py
+++ b/minthitch/mesh/sidecar/admission.py
@@ -138,6 +138,11 @@
         if server_id == self.server_id and self.state != "none":
             self._set_state("none")
 
+    def readmit(self, server_id: str) -> None:
+        """This run took the place of an earlier one before, and counted as over when another took its own."""
+        if server_id in self.past_server_ids:
+            self.past_server_ids.remove(server_id)
+
     # Calls ----------------------------------------------------------------------------------------
 
     def call(self, origin: Hashable, reply: Reply, message: ops.Message) -> None:
--- a/minthitch/mesh/sidecar/sidecar.py
+++ b/minthitch/mesh/sidecar/sidecar.py
@@ -14,6 +14,7 @@
 from minthitch.mesh.configuration.routes import RoutingTable
 from minthitch.mesh.configuration.settings import NodeSettings
 from minthitch.mesh.events.events import Event, log_event, lost_line_count
+from minthitch.mesh.http.instance_probe import ProbeVerdict
 from minthitch.mesh.http.listener import ClientConnection
 from minthitch.mesh.http.upstream import ServerPool
 from minthitch.mesh.limits.nested import NestedCallDetector
@@ -35,6 +36,7 @@
 
 MAX_SERVER_CONNECTIONS = 256  # to the own server: a guard, since the server's slots bound them anyway
 MAX_DEADLINE_S = 600.0  # a longer deadline of a client is cut to this
+DEFAULT_HEALTH_PATH = "/healthz"  # until there is a configuration
 COUNT_INTERVAL_S = 1.0  # that one log line with counts covers
 MAX_COUNTS_LOGGED = 6  # kinds of replies in one log line
 SHUTDOWN_RETRY_AFTER_S = 0.05  # after which a client rejected in a shutdown is to try elsewhere
@@ -74,9 +76,16 @@
             self.controls, settings.terms.bounds.key_win_s, self.name, self.peer_queries.ask_owner
         )
         self.run_recorder = RunRecorder(self.controls, self.name, epoch)
-        self.server_lifecycle = ServerLifecycle(self.admission, self.run_recorder)
+        self.server_lifecycle = ServerLifecycle(self.admission, self.run_recorder, self._probe_server)
         self.controls.connect_to(tuple(seed.rpartition(":")[0] for seed in settings.net.seeds))
 
+    def _probe_server(self, server_id: str, done: Callable[[ProbeVerdict], None]) -> None:
+        """Asks the server beside this sidecar whether this run of it is there."""
+        own = self.settings.own
+        service = self.table.services.get(own.svc) if self.table is not None else None
+        path = service.health_path if service is not None else DEFAULT_HEALTH_PATH
+        self.admission.server_pool.probe(path, server_id, own.upstream, done)
+
     # Reports to control nodes -----------------------------------------------------------------------
 
     def send_report(self) -> None:
--- a/rigs/simulation/servers.py
+++ b/rigs/simulation/servers.py
@@ -11,6 +11,7 @@
 from typing import Any, NamedTuple, Protocol, cast
 
 from minthitch import interface as api
+from minthitch.mesh.http.instance_probe import PROBE_TIMEOUT_S, ProbeVerdict
 from minthitch.mesh.http.listener import ClientConnection
 from minthitch.mesh.http.upstream import NOT_RUN, Outcome, UpstreamCall, classify_response
 from minthitch.mesh.sidecar.handlers import AdminHandler
@@ -104,6 +105,22 @@
         else:
             call.finish(api.Status.OK, outcome)
 
+    def probe(self, path: str, server_id: str, address: str, done: Callable[[ProbeVerdict], None]) -> None:
+        """Asks the server whether this run of it is there; without an answer after a time, it is unknown."""
+        self.loop.after(SIDECAR_DELAY_S, self.loop.world, self._probe_arrives, server_id, done)
+
+    def _probe_arrives(self, server_id: str, done: Callable[[ProbeVerdict], None]) -> None:
+        if self.machine.life != self.life:
+            return
+        server = self.server
+        delay_s, verdict = SIDECAR_DELAY_S, ProbeVerdict.UNKNOWN
+        if server.up and self.loop.now >= server.stalled_until:
+            is_running = server.life == server_id
+            verdict = ProbeVerdict.IS_RUNNING if is_running else ProbeVerdict.IS_NOT_RUNNING
+        elif server.up:
+            delay_s = PROBE_TIMEOUT_S
+        self.loop.after(delay_s, self.machine, done, verdict)
+
     def hang_up(self, upstream: Any) -> None:
         pass
 
--- a/tests/mesh/test_pages_beats.py
+++ b/tests/mesh/test_pages_beats.py
@@ -80,6 +80,9 @@
     def suspend(self) -> None:
         pass
 
+    def readmit(self, server_id: str) -> None:
+        pass
+
     def deregister(self, server_id: str) -> None:
         self.heard.append((server_id, len(self.client.answers)))
 
@@ -105,7 +108,7 @@
     ) -> tuple[list[tuple[int, bytes]], list[tuple[str, int]]]:
         client = Client()
         admission = FakeAdmission(client)
-        lifecycle = ServerLifecycle(admission, FakeRecorder(commits))
+        lifecycle = ServerLifecycle(admission, FakeRecorder(commits), lambda server_id, done: None)
         admin = AdminHandler(cast(Any, SimpleNamespace(server_lifecycle=lifecycle)))
         admin.log_client_error = lambda text: None  # type: ignore[method-assign]
         item = SimpleNamespace(method=b"POST", target=path, body=sent)
--- a/tests/mesh/test_server_lifecycle.py
+++ b/tests/mesh/test_server_lifecycle.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 import unittest
 from collections.abc import Callable
@@ -13,10 +14,12 @@
 from minthitch.mesh.configuration.calls import Heartbeat
 from minthitch.mesh.control.state_machine import CLAIM, NO_LEADER, StateMachine, pack_command
 from minthitch.mesh.events.events import LOG
+from minthitch.mesh.http.instance_probe import ProbeVerdict
 from minthitch.mesh.idempotency import claims as claims_module
 from minthitch.mesh.idempotency.claims import ClaimCommand
+from minthitch.mesh.sidecar import server_lifecycle
 from minthitch.mesh.sidecar.run_recorder import RunRecorder
-from minthitch.mesh.sidecar.server_lifecycle import ServerLifecycle
+from minthitch.mesh.sidecar.server_lifecycle import SILENT_S, ServerLifecycle
 from rigs.simulation.loop import Machine, VirtualLoop
 
 SEEDS = 150
@@ -47,6 +50,9 @@
         if server_id == self.server_id:
             self.state = "none"
 
+    def readmit(self, server_id: str) -> None:
+        pass
+
     @property
     def open_to(self) -> str:
         return self.server_id if self.state == "up" else ""
@@ -82,6 +88,8 @@
         self.machine = Machine("sidecar")
         self.copies: tuple[int, ...] = (0,)  # further copies of each command
         self.delay_s, self.loss_rate, self.has_leader = (0.001, 0.01), 0.0, True
+        self.running = ""  # the run that answers probes; empty: none does
+        self.probe_failure_rate, self.probes = 0.0, 0
         self.answers: list[tuple[str, bool]] = []  # which run's departure was acknowledged or not
         self.acknowledged: set[str] = set()
         self.start()
@@ -100,7 +108,16 @@
 
     def _begin(self, admission: FakeAdmission) -> None:
         recorder = RunRecorder(ControlLinks(self), f"sidecar/{self.epoch}", self.epoch)
-        self.lifecycle = ServerLifecycle(admission, recorder)
+        self.lifecycle = ServerLifecycle(admission, recorder, self._probe)
+
+    def _probe(self, server_id: str, done: Callable[[ProbeVerdict], None]) -> None:
+        """Answer after a while by the run that is there, or that this can't be told."""
+        self.probes += 1
+        verdict = ProbeVerdict.UNKNOWN
+        if self.running and self.random.random() >= self.probe_failure_rate:
+            is_running = server_id == self.running
+            verdict = ProbeVerdict.IS_RUNNING if is_running else ProbeVerdict.IS_NOT_RUNNING
+        self.loop.after(self.random.uniform(*self.delay_s), self.machine, done, verdict)
 
     def restart(self) -> None:
         self.loop.end(self.machine)
@@ -234,6 +251,57 @@
         self.world.up("a", 2)
         self.assert_admits("b")
 
+    def test_a_late_first_heartbeat_of_a_crashed_run_leaves_the_living_one_in_service(self) -> None:
+        # Guards against: the dead run, heard last, counted as the later one, and the living one stayed out
+        # for good though its heartbeats were acknowledged (review/5).
+        self.world.running = "b"
+        self.assert_admits("b")
+        self.world.up("a")
+        self.world.run()
+        self.assert_admits("b", 2)
+        self.world.up("a", 2)
+        self.assert_open_to("b")
+
+    def test_a_late_heartbeat_that_a_restarted_sidecar_hears_first_gives_way_at_once(self) -> None:
+        self.world.running = "b"
+        for rotations in (0, 2):  # of the table of claims: after two the records are gone
+            self.assert_admits("b")
+            for _ in range(rotations):
+                self.world.state.claims.rotate()
+            self.world.restart()
+            self.world.up("a", 7)
+            self.world.run()
+            self.assert_admits("b", 2)
+
+    def test_a_new_run_takes_the_place_of_a_crashed_one_with_one_probe(self) -> None:
+        self.assert_admits("a")
+        self.world.running = "b"
+        self.assert_admits("b")
+        self.assertEqual(self.world.probes, 1)
+
+    def test_a_new_run_after_a_departure_needs_no_probe(self) -> None:
+        self.assert_admits("a")
+        self.world.deregister("a")
+        self.world.run()
+        self.assert_admits("b")
+        self.assertEqual(self.world.probes, 0)
+
+    def test_a_living_run_that_was_replaced_unprobed_returns_with_the_next_answer_of_the_server(self) -> None:
+        self.assert_admits("b")
+        self.assert_admits("a")  # late, and the server tells nothing
+        self.world.running = "b"
+        self.assert_admits("b", 2)
+        self.world.up("a", 2)
+        self.assert_open_to("b")
+
+    def test_a_living_run_returns_without_any_answer_once_the_other_one_is_silent(self) -> None:
+        self.assert_admits("b")
+        self.assert_admits("a")
+        for seq in range(2, 2 + int(2 * SILENT_S)):
+            self.world.up("b", seq)
+            self.world.run()
+        self.assert_admits("b", 99)
+
     def test_draining_of_an_earlier_run_does_not_replace_the_present_one(self) -> None:
         self.assert_admits("b")
         self.world.draining("a")
@@ -298,5 +366,76 @@
         world.loop.close()
 
 
+class LivingRuns(unittest.TestCase):
+    """Runs follow each other by crashes and departures; heartbeats are late by any time, and clocks, records,
+    leaders and processes come and go. In the end the run that is there gets the requests.
+    """
+
+    def test_the_run_that_is_there_is_in_service_in_the_end(self) -> None:
+        with mock.patch.object(LOG, "disabled", True):
+            for seed in range(SEEDS):
+                with self.subTest(seed=seed):
+                    self.assertEqual(self.play(seed), "living")
+
+    def test_planted_fault_the_run_heard_last_is_taken_for_the_later_one_is_found(self) -> None:
+        unknown = mock.patch.object(World, "_probe", lambda world, life, done: done(ProbeVerdict.UNKNOWN))
+        patient = mock.patch.object(server_lifecycle, "SILENT_S", math.inf)
+        with mock.patch.object(LOG, "disabled", True), unknown, patient:
+            self.assertIn("another", [self.play(seed) for seed in range(SEEDS)])
+
+    def test_planted_fault_a_replaced_run_is_never_heard_again_is_found(self) -> None:
+        def ignore(lifecycle: ServerLifecycle, server_id: str, seq: int) -> None:
+            lifecycle._replaced[server_id] = 10**9
+
+        with (
+            mock.patch.object(LOG, "disabled", True),
+            mock.patch.object(ServerLifecycle, "_ignore_up_to", ignore),
+        ):
+            self.assertIn("another", [self.play(seed) for seed in range(SEEDS)])
+
+    def play(self, seed: int) -> str:
+        """Whether the living run is in service at the end, or another one or none."""
+        world = World(seed)
+        draw = world.random
+        world.copies, world.loss_rate = draw.choice(((0,), (0, 1, 2))), draw.choice((0.0, 0.3))
+        world.delay_s, world.probe_failure_rate = (
+            (0.001, draw.choice((0.01, 0.6))),
+            draw.choice((0.0, 0.5, 1.0)),
+        )
+        sent = list[tuple[str, int]]()  # heartbeats that may still arrive, or arrive again
+        number = seq = 0
+        for _ in range(draw.randrange(8, 40)):
+            step = draw.random()
+            if not number or step < 0.15:  # the run before has crashed, or has left
+                if number and draw.random() < 0.3:
+                    world.deregister(world.running)
+                number, seq = number + 1, 0
+                world.running = f"run-{number}"
+            elif step < 0.25:
+                world.epoch -= draw.choice((0, 0, 3))
+                world.restart()
+            elif step < 0.32:
+                world.has_leader = not world.has_leader
+            elif step < 0.4:
+                world.state.claims.rotate()
+            elif step < 0.6 and sent:
+                world.up(*draw.choice(sent))
+            else:
+                seq += 1
+                sent.append((world.running, seq))
+                if draw.random() < 0.8:
+                    world.up(world.running, seq)
+            world.run(draw.choice((0.001, 0.3, 2.0)))
+        world.has_leader, world.loss_rate = True, 0.0
+        for _ in range(int(4 * SILENT_S)):
+            seq += 1
+            world.up(world.running, seq)
+            world.run(0.5)
+        world.run(SETTLED_S)
+        found = world.admission.open_to
+        world.loop.close()
+        return "living" if found == world.running else "another" if found else "none"
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/mesh/test_start.py
+++ b/tests/mesh/test_start.py
@@ -75,6 +75,7 @@
     "decisions.sets",
     "net.pool",
     "mesh.configuration.routes",
+    "mesh.http.instance_probe",
     "mesh.http.upstream",
     "mesh.idempotency.operations",
     "mesh.sidecar",
