--- a/minthitch/mesh/http/upstream.py
+++ b/minthitch/mesh/http/upstream.py
@@ -75,6 +75,7 @@
         "status",
         "handle",
         "on_done",
+        "on_sent",
         "written",
         "may_stream",
     )
@@ -89,13 +90,18 @@
         deadline: int,
         once: bool,
         on_done: Callable[[Outcome], None],
+        on_sent: Callable[[], None] = lambda: None,
     ) -> None:
-        """`deadline`: on the monotonic clock, in nanoseconds; `once`: the request may not run twice."""
+        """`deadline`: on the monotonic clock, in nanoseconds; `once`: the request may not run twice.
+
+        `on_sent` is called if the operating system has taken all of the request before it ends.
+        """
         self.server, self.message, self.request_id, self.server_id = server, message, request_id, server_id
         self.caller_service, self.deadline, self.at_most_once = caller_service, deadline, once
-        # None once it has been called: it refers to objects that refer to this call, and these would keep the
-        # body until a collection.
+        # None once they have been called: they refer to objects that refer to this call, and these would keep
+        # the body until a collection.
         self.on_done: Callable[[Outcome], None] | None = on_done
+        self.on_sent: Callable[[], None] | None = on_sent
         self.started = time.monotonic_ns()
         self.status: api.Status | None = None
         self.handle: Connection | None = None
@@ -111,7 +117,12 @@
 
     def wrote(self) -> None:
         """Called when the request is first handed to the transport, and when all of it has been sent."""
-        self.written = True
+        if not self.written:
+            self.written = True
+            return
+        on_sent, self.on_sent = self.on_sent, None
+        if on_sent is not None:
+            on_sent()
 
     def end(self, status: api.Status, answer: Served | None = None) -> None:
         """Called by the pool when no response came."""
@@ -125,7 +136,7 @@
         carried, self.handle = self.handle, None
         if carried is not None:
             carried.drop()
-        on_done, self.on_done = self.on_done, None
+        on_done, self.on_done, self.on_sent = self.on_done, None, None
         if on_done is not None:
             on_done(outcome)
 
--- a/minthitch/mesh/limits/bulk.py
+++ b/minthitch/mesh/limits/bulk.py
@@ -3,12 +3,14 @@
 Many senders share one slow link into a server's machine. Bodies sent without asking queue up inside the
 network, where neither side can reorder or drop them, and every small request behind them misses its deadline.
 So a sender first offers a large body by its size. The receiver grants offers by priority and due time, and
-limits the bytes that are granted and have not arrived to a window. An offer that can't be served in time is
-rejected before its body is sent. No I/O and no clock: times are seconds, passed in.
+limits the bytes that are granted and have not arrived to a window, and the bytes that it holds to its memory.
+An offer that can't be served in time is rejected before its body is sent. No I/O and no clock: times are
+seconds, passed in.
 """
 
 from __future__ import annotations
 
+import math
 from collections.abc import Hashable
 
 MIN_OFFERED_BYTES = 16 * 1024  # smaller bodies are sent at once: an offer would cost more than they do
@@ -28,12 +30,19 @@
 
 
 class BulkAdmission:
-    """Offers to one receiver: those granted, and those waiting."""
+    """Offers to one receiver: those granted, those waiting, and the bodies that it still holds.
 
-    def __init__(self) -> None:
+    Args:
+        memory: bytes of bodies that are granted or held; one larger body is granted where there is no other.
+    """
+
+    def __init__(self, memory: float = math.inf) -> None:
         self.granted: dict[Hashable, Offer] = {}
         self.waiting: list[Offer] = []
         self.outstanding = 0  # bytes granted and not received
+        self.memory = memory
+        self.received: dict[Hashable, int] = {}  # bytes received and not passed on, by call
+        self.received_bytes = 0
         self._bytes, self._seconds = 0.0, 0.0  # received, and the time it took, both decaying
         self._since = 0.0  # when the last body arrived, or, if none was in flight, the first was granted
 
@@ -62,15 +71,25 @@
         return False
 
     def arrived(self, now: float, key: Hashable) -> None:
-        """A body has arrived."""
+        """A body has arrived. It is held until `released`."""
         offer = self.granted.pop(key, None)
         if offer is None:
             return
         self.outstanding -= offer.size
+        self.received[key] = offer.size
+        self.received_bytes += offer.size
         self._bytes = self._bytes * DECAY + offer.size
         self._seconds = self._seconds * DECAY + max(now - self._since, 1e-6)
         self._since = now
 
+    def released(self, key: Hashable) -> bool:
+        """A body is not held any more; whether it was."""
+        size = self.received.pop(key, None)
+        if size is None:
+            return False
+        self.received_bytes -= size
+        return True
+
     def withdrawn(self, _now: float, key: Hashable) -> None:
         """The sender does not need it any more, or its connection is lost."""
         offer = self.granted.pop(key, None)
@@ -101,7 +120,10 @@
         return self.outstanding + sum(offer.size for offer in self.waiting if offer.priority <= priority)
 
     def _fits(self, offer: Offer) -> bool:
-        return not self.granted or self.outstanding + offer.size <= WINDOW
+        if self.granted and self.outstanding + offer.size > WINDOW:
+            return False
+        taken = self.received_bytes + self.outstanding
+        return not taken or taken + offer.size <= self.memory
 
     def _grant(self, now: float, offer: Offer) -> None:
         if not self.granted:
--- a/minthitch/mesh/sidecar/admission.py
+++ b/minthitch/mesh/sidecar/admission.py
@@ -85,6 +85,8 @@
         self.runs_started = self.retries_started = 0  # runs at the server, and those of them that are retries
         self.retries_running = 0  # calls that these make count as retries too
         self.end_by = math.inf  # when all calls have to end in a shutdown
+        # Called with the key of each call whose body is not held here any more, perhaps more than once.
+        self.on_body_released: Callable[[Hashable], None] = lambda key: None
         # Whether the retry budget covers the calls that a retry would make.
         self.may_run_retry: Callable[[], bool] = lambda: True
 
@@ -146,28 +148,33 @@
     # Calls ----------------------------------------------------------------------------------------
 
     def call(self, origin: Hashable, reply: Reply, message: ops.Message) -> None:
-        now = self.loop.time()
-        job = Job((origin, message[1]), reply, message, now, self.end_by)
+        """Start or queue a call, or reject it at once."""
+        job = Job((origin, message[1]), reply, message, self.loop.time(), self.end_by)
+        rejection = self._admit(job, message)
+        if rejection:
+            self._reply_busy(job, rejection, False)
+            self.on_body_released(job.key)
+
+    def _admit(self, job: Job, message: ops.Message) -> str:
+        """Start or queue the call; why it is rejected, or empty."""
+        now = job.arrived_at
         if self.state != "up" or job.server_id != self.server_id or now >= self.end_by:
-            self._reply_busy(job, "gone", False)
-            return
+            return "gone"
         if job.flags & RETRY and not self.may_run_retry():
-            self._reply_busy(job, "budget", False)
-            return
+            return "budget"
         if self.gate.stuck(now):
             self._reject_queued("stuck")
-            self._reply_busy(job, "stuck", False)
-            return
+            return "stuck"
         needs = self.gate.expected_duration(job.route, message[4])
         due = min(now + message[4], self.end_by)
         verdict = self.gate.arrive(now, QueuedRequest(job, message[5], due, job.deadline, needs))
         if verdict is None:
-            self._reply_busy(job, "full", False)
-            return
+            return "full"
         self.jobs[job.key] = job
         job.timer = self.loop.call_at(job.deadline + DEADLINE_GRACE_S, self._on_deadline, job)
         if verdict:
             self._start(job)
+        return ""
 
     def _start(self, job: Job) -> None:
         job.started_at = self.loop.time()
@@ -184,6 +191,7 @@
             deadline,
             bool(job.flags & AT_MOST_ONCE),
             lambda outcome: self._done(job, outcome),
+            lambda: self.on_body_released(job.key),
         )
         self.server_pool.run(job.upstream_call)
 
@@ -252,6 +260,7 @@
         if job.timer is not None:
             job.timer.cancel()
         self.jobs.pop(job.key, None)
+        self.on_body_released(job.key)
 
     def _on_deadline(self, job: Job) -> None:
         """Its time is over: the server stops by itself, and the caller has responded."""
--- a/minthitch/mesh/sidecar/offers.py
+++ b/minthitch/mesh/sidecar/offers.py
@@ -16,11 +16,17 @@
 
 
 class OfferReceiver:
-    """Decides which offered bodies may be sent to the server beside this sidecar."""
+    """Decides which offered bodies may be sent to the server beside this sidecar.
 
-    def __init__(self, admission: Admission) -> None:
+    Args:
+        admission: to the server; tells when it does not hold the body of a call any more.
+        memory: bytes of bodies that may be held for the server.
+    """
+
+    def __init__(self, admission: Admission, memory: int) -> None:
         self.loop = asyncio.get_running_loop()
-        self.admission, self.bulk = admission, BulkAdmission()
+        self.admission, self.bulk = admission, BulkAdmission(memory)
+        admission.on_body_released = self._on_body_released
         self.replies: dict[Hashable, Reply] = {}  # by key, while an offer waits
 
     def on_offer(self, origin: Hashable, reply: Reply, message: ops.Message) -> None:
@@ -49,6 +55,11 @@
             self.bulk.arrived(self.loop.time(), key)
             self._decide_waiting()
 
+    def _on_body_released(self, key: Hashable) -> None:
+        """The server has the body of a call, or the call has ended: others may be granted."""
+        if self.bulk.released(key):
+            self._decide_waiting()
+
     def on_cancel(self, origin: Hashable, ident: int) -> None:
         """The sender no longer needs the call."""
         self.replies.pop((origin, ident), None)
--- a/minthitch/mesh/sidecar/program.py
+++ b/minthitch/mesh/sidecar/program.py
@@ -12,6 +12,7 @@
 from minthitch.mesh.events.events import Event, log_event
 from minthitch.mesh.http.listener import Listener
 from minthitch.mesh.http.runtime import load_seeds, run
+from minthitch.mesh.sidecar.body_memory import body_memory_bytes
 from minthitch.mesh.sidecar.handlers import AdminHandler
 from minthitch.mesh.sidecar.shutdown_schedule import ShutdownSchedule
 from minthitch.mesh.sidecar.sidecar import Sidecar
@@ -22,7 +23,6 @@
 
 POLL_INTERVAL_S = 0.1  # between two checks for open requests in a shutdown
 RESERVED_DESCRIPTORS = 200  # for files, mesh connections and listeners
-RESIDENT_MB = 60.0  # of memory without long request bodies
 BACKLOG = 256
 
 
@@ -41,7 +41,7 @@
     """Serves until the shutdown that SIGTERM starts is over. Returns the exit code."""
     loop = asyncio.get_running_loop()
     sidecar = Sidecar(settings, int(time.time() * 1000))
-    memory = int(max(settings.own.limits.mem_mb - RESIDENT_MB, 16.0) * 1024 * 1024) // 3
+    memory = body_memory_bytes(settings.own.limits.mem_mb)
     max_connections = max((settings.own.limits.nofile - RESERVED_DESCRIPTORS) * 2 // 3, 64)
     admin = AdminHandler(sidecar)
     clients = Listener(sidecar, max_connections, memory)
--- a/minthitch/mesh/sidecar/sidecar.py
+++ b/minthitch/mesh/sidecar/sidecar.py
@@ -20,6 +20,7 @@
 from minthitch.mesh.limits.nested import NestedCallDetector
 from minthitch.mesh.sidecar.admission import Admission
 from minthitch.mesh.sidecar.attempt_dispatcher import AttemptDispatcher
+from minthitch.mesh.sidecar.body_memory import body_memory_bytes
 from minthitch.mesh.sidecar.control_links import ControlLinks
 from minthitch.mesh.sidecar.exchange import Exchange
 from minthitch.mesh.sidecar.keys import IdempotencyKeys, digest_request, hashed
@@ -68,7 +69,7 @@
         self.error_counts: dict[str, int] = {}
         server_pool = server_pool or ServerPool(MAX_SERVER_CONNECTIONS)
         self.admission = Admission(settings.own.upstream, settings.own.svc, server_pool, self.send_report)
-        self.offers = OfferReceiver(self.admission)
+        self.offers = OfferReceiver(self.admission, body_memory_bytes(settings.own.limits.mem_mb))
         self.retry_budget = RetryBudget(settings.terms.bounds, self.admission)
         self.name = f"{settings.own.ip}/{epoch}"
         self.controls = ControlLinks(self, self.port, self.name)
--- a/tests/mesh/test_start.py
+++ b/tests/mesh/test_start.py
@@ -85,6 +85,7 @@
     "mesh.sidecar.handlers",
     "mesh.sidecar.sidecar",
     "mesh.sidecar.admission",
+    "mesh.sidecar.body_memory",
     "mesh.sidecar.keys",
     "mesh.sidecar.control_links",
     "mesh.sidecar.peer",
