BodyBytes alone limits a body; the table of callers and three unused constants

Ruled out: raising the node's figure, which its own pages give.

A body that the memory can't hold is 413 as before. `Callers` moves to net/caller_table.py as it was (only its module's docstring is new).

Test: test_the_settings_alone_limit_a_body (413 to 40 MiB before).

--- a/minthitch/benchlink.py
+++ b/minthitch/benchlink.py
@@ -22,7 +22,6 @@
 EVENT_SIZE, ACTION_SIZE, ENTRY_SIZE = 48, 24, 23
 MAX_FRAME = 1 << 30
 MAX_DELAY = 71 * 60 * api.SECOND - api.SECOND  # the longest timer that the protocol allows, less a second
-MAX_U32 = (1 << 32) - 1
 
 # Layouts of event records, and of an entry of a server list.
 ATTEMPT_ENDED = struct.Struct(">xHIHIHBQBB4f")
--- a/minthitch/mesh/http/listener.py
+++ b/minthitch/mesh/http/listener.py
@@ -13,7 +13,8 @@
 
 from minthitch.engine.calls import Rejected
 from minthitch.net.body_memory import BodyMemory
-from minthitch.net.callers import Caller, Callers, Incoming
+from minthitch.net.caller_table import Callers
+from minthitch.net.callers import Caller, Incoming
 
 REASONS = {
     200: "OK",
@@ -87,14 +88,9 @@
             raise Rejected(400, f"unsupported HTTP version {version}")
         if b"host" not in item.fields and version == "1.1":
             raise Rejected(400, "missing Host header")
-        length = item.fields.get(b"content-length")
-        if length is not None and int(length) > self.handler.max_body_bytes():
-            raise Rejected(413, "request body too large")
-
-    def on_body(self, part: bytes) -> None:
-        super().on_body(part)
-        if self.body_size > self.handler.max_body_bytes():
-            raise Rejected(413, "request body too large")
+
+    def max_body_bytes(self) -> int:
+        return self.handler.max_body_bytes()
 
     def _start_request(self, item: Incoming | Rejected) -> None:
         if isinstance(item, Rejected):
--- a/minthitch/mesh/sidecar/keys.py
+++ b/minthitch/mesh/sidecar/keys.py
@@ -19,7 +19,6 @@
 
 RETENTION_WINDOWS = 2.2  # key windows for which an operation is kept: longer than any repeat can come
 MAX_TAKEOVERS = 3  # of claims that another sidecar gave up without a run, before this request gives up too
-ASK_AGAIN_S = 0.25  # before an unreachable owner is asked once more
 
 
 class KeyedExchange(Protocol):
--- a/minthitch/mesh/sidecar/sidecar.py
+++ b/minthitch/mesh/sidecar/sidecar.py
@@ -33,10 +33,12 @@
 from minthitch.mesh.sidecar.shutdown_schedule import ShutdownSchedule
 from minthitch.mesh.transport import ops
 from minthitch.mesh.transport.connection import Connection
+from minthitch.mesh.transport.framing import MAX_MESSAGE_BYTES
 from minthitch.net.callers import Incoming
 
 MAX_SERVER_CONNECTIONS = 256  # to the own server: a guard, since the server's slots bound them anyway
 MAX_DEADLINE_S = 600.0  # a longer deadline of a client is cut to this
+MAX_FORWARDED_BODY_BYTES = MAX_MESSAGE_BYTES - 1024 * 1024  # of a call: the rest is for its head
 DEFAULT_HEALTH_PATH = "/healthz"  # until there is a configuration
 COUNT_INTERVAL_S = 1.0  # that one log line with counts covers
 MAX_COUNTS_LOGGED = 6  # kinds of replies in one log line
@@ -151,7 +153,8 @@
         return self.table.limits.header_bytes if self.table is not None else 32 * 1024
 
     def max_body_bytes(self) -> int:
-        return self.table.limits.body_bytes if self.table is not None else 64 * 1024 * 1024
+        allowed = self.table.limits.body_bytes if self.table is not None else MAX_FORWARDED_BODY_BYTES
+        return min(allowed, MAX_FORWARDED_BODY_BYTES)
 
     def accepts_requests(self) -> bool:
         return not self.leaving
--- a/minthitch/net/node.py
+++ b/minthitch/net/node.py
@@ -18,7 +18,8 @@
 from minthitch.engine.ports import Decider, StaticSource
 from minthitch.log import LineLog
 from minthitch.net.body_memory import BodyMemory
-from minthitch.net.callers import Caller, Callers, Incoming
+from minthitch.net.caller_table import Callers
+from minthitch.net.callers import Caller, Incoming
 from minthitch.net.discovery import Discovery
 from minthitch.net.handover import Handover
 from minthitch.net.lifecycle import ANSWER_TIMEOUT_S, Lifecycle, State
--- a/rigs/simulation/control_client.py
+++ b/rigs/simulation/control_client.py
@@ -18,7 +18,6 @@
 RETRY_DELAYS_S = (0.05, 0.1, 0.2, 0.4)  # between successive attempts; the last one repeats
 ONE_WAY_DELAY_S = 0.001  # between a client and a node
 REFUSAL_DELAY_S = 0.002  # until the machine of a stopped node refuses the connection
-MAX_READS_IN_FLIGHT = 3  # of one client
 LOST_ANSWER_RATE = 0.0  # probability that an answer is lost in transit
 
 Result = tuple[Any, ...] | None
--- a/tests/mesh/test_http.py
+++ b/tests/mesh/test_http.py
@@ -12,6 +12,7 @@
 from minthitch.net.callers import Incoming
 
 SEAL = b"X-Server-Seal: s\r\n"
+MIB = 1024 * 1024
 THEN_CLOSE = b"cut:"  # prefix of a reply after which the server closes the connection
 # None: close the connection; a pair: the second follows once the first was skipped.
 Reply = bytes | tuple[bytes, bytes] | None
@@ -246,6 +247,31 @@
         big = b"POST /a/ HTTP/1.1\r\nHost: a\r\nContent-Length: 100001\r\n\r\n"
         self.assertEqual((await self.send(big))[0], b"413")
 
+    async def test_the_settings_alone_limit_a_body(self) -> None:
+        # Guards against: 413 to a stated 40 MiB where the settings allow 64 MiB.
+        class LargeBodies(EchoHandler):
+            def handle(self, client: ClientConnection, request: Incoming) -> None:
+                client.respond(client.token, 200, (), b"%d" % len(request.body))
+
+            def max_body_bytes(self) -> int:
+                return 64 * MIB
+
+        listener = Listener(LargeBodies(), 16, 64 * MIB)
+        await listener.open("127.0.0.1:0")
+        assert listener.server is not None
+        port = listener.server.sockets[0].getsockname()[1]
+        for size, status in ((40 * MIB, b"200"), (64 * MIB + 1, b"413")):
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(b"POST /a/ HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n" % size)
+            if status == b"200":
+                for _ in range(size // MIB):
+                    writer.write(bytes(MIB))
+                    await writer.drain()
+            head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 20)
+            self.assertEqual(head.split(b" ", 2)[1], status)
+            writer.close()
+        listener.close()
+
     async def test_a_chunked_body_is_received_completely(self) -> None:
         data = (
             b"POST /a/ HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
--- a/tests/mesh/test_start.py
+++ b/tests/mesh/test_start.py
@@ -28,6 +28,7 @@
     "listing",
     "log",
     "net",
+    "net.caller_table",
     "net.callers",
     "net.eviction",
     "net.body_memory",
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -39,6 +39,7 @@
     "minthitch.log",
     "minthitch.learned_state",
     "minthitch.net",
+    "minthitch.net.caller_table",
     "minthitch.net.callers",
     "minthitch.net.eviction",
     "minthitch.net.discovery",
