--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -537,6 +537,15 @@
     assert os.path.exists(path)
 
 
+async def _status_after_start(port: int) -> subprocess.CompletedProcess[str]:
+    """The status once the node has observed its phase: it is ready up to POLL_INTERVAL_S before that."""
+    async with asyncio.timeout(20):
+        while True:
+            status = await asyncio.to_thread(command, "recovery", "status", f"127.0.0.1:{port}")
+            if "n0: dark for" not in status.stdout:
+                return status
+
+
 async def _operator_output(tmp_path: Path) -> tuple[str, int]:
     """Runs the operators' commands against one node that was killed and restarted."""
     async with Cluster(1, 1, TABLE, MAKE, keeps=True) as cluster:
@@ -550,7 +559,10 @@
         await cluster.start_node(0)
         await cluster.all_ready()
         ask = asyncio.to_thread
-        said = [await ask(command, "recovery", word, f"127.0.0.1:{port}") for word in ("status", "explain")]
+        said = [
+            await _status_after_start(port),
+            await ask(command, "recovery", "explain", f"127.0.0.1:{port}"),
+        ]
         file = next(kept.glob("*.snapshot"))
         said.append(await ask(command, "recovery", "inspect", str(file)))
         said.append(await ask(command, "recovery", "inspect", str(file), "--json"))
